--- /dev/null
+++ b/src/passrock/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: joins the core to the outside."""
--- /dev/null
+++ b/src/passrock/controller/keys.py
@@ -0,0 +1,32 @@
+"""The keys under which passrock keeps its state."""
+
+ROOT = "p/"
+JOB = "p/j/"
+CHUNK = "p/t/"
+CANCEL = "p/c/"
+FINAL = "p/f/"
+INTENT = "p/q/"
+RESERVATION = "p/r/"
+LEADER = "p/lead"
+TERM = "p/term"
+NOWHERE = "p/none"
+
+
+def job(job_id: str) -> str:
+    """An unfinished job with its first tasks."""
+    return JOB + job_id
+
+
+def chunk(job_id: str, number: int) -> str:
+    """Some of a job's tasks; the first ones are in the job's own record."""
+    return f"{CHUNK}{job_id}/{number}" if number else JOB + job_id
+
+
+def cancel(job_id: str) -> str:
+    """The mark that a job's user was told it is cancelled."""
+    return CANCEL + job_id
+
+
+def final(job_id: str) -> str:
+    """How a job ended."""
+    return FINAL + job_id
--- /dev/null
+++ b/src/passrock/controller/leadership.py
@@ -0,0 +1,181 @@
+"""Who leads: a leased key, taken together with a new term in one commit."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from passrock.controller import keys
+from passrock.controller.replica import Replica
+from passrock.core.fleet import DRIFT
+from passrock.io.clock import steady
+from passrock.io.peers import Hello, Peers
+from passrock.io.state import Committed, LeaseGone, StateClient, StateError, StateUnknown
+from passrock.logs import info
+from passrock.settings import Settings
+from passrock.wire.state import Put
+
+
+class Leadership:
+    """This node's part in the leadership."""
+
+    def __init__(self, settings: Settings, state: StateClient, replica: Replica, rng: random.Random) -> None:
+        self.settings = settings
+        self.state = state
+        self.replica = replica
+        self.rng = rng
+        self.peers: Peers | None = None
+        self.ttl = settings.leader_lease_s
+        self.term = 0  # the term this node leads or last led, 0 for none
+        self.leading = False
+        self.stamp = 0
+        self.revision = 0
+        self.deadline = -1e9
+        self.known_term = 0
+        self.fenced_at: float | None = None
+        self.changed: list[Callable[[], None]] = []
+        self._lease = 0
+        self._support_s = max(1.0, settings.report_s)
+
+    # -- what others may rely on ------------------------------------------------------------
+
+    def firm(self) -> bool:
+        """Whether this node surely leads now: its key can't have run out."""
+        return self.leading and steady() < self.deadline
+
+    def may_renew(self) -> bool:
+        """Whether check-ins may be answered: as leader, or as the last one while the state is down.
+
+        Through an outage of the state service the key runs out for everyone, and tasks must live.
+        So the last leader goes on renewing worker leases, without launching anything, while a
+        majority of controllers also see the service down and know of no higher term.
+        """
+        if self.firm():
+            return True
+        if not self.leading or self.peers is None or self.known_term > self.term:
+            return False
+        if not self.state.down(steady(), 0.0):
+            return False
+        votes = 1
+        for hello, _ in self.peers.answers(steady() - self._support_s):
+            if hello.term > self.term:
+                return False
+            if hello.has_read and hello.state_down and hello.term == self.term:
+                votes += 1
+        return votes * 2 > self.settings.nodes
+
+    def leader(self) -> str | None:
+        """The node that leads, as far as is known here."""
+        entry = self.replica.get(keys.LEADER)
+        if entry is not None and isinstance(entry.value, dict):
+            node = entry.value.get("node")
+            return node if isinstance(node, str) else None
+        return None
+
+    def view(self) -> Hello:
+        """What the peers are told."""
+        return Hello(
+            node=self.settings.node,
+            term=self.known_term,
+            leader=self.leader(),
+            state_down=self.state.down(steady(), self.ttl / 4),
+            has_read=self.replica.loaded,
+        )
+
+    def heard(self, hello: Hello) -> None:
+        """A peer told its view."""
+        self.saw_term(hello.term)
+
+    def saw_term(self, term: int) -> None:
+        """A term was seen anywhere: a higher one than ours ends our leadership at once."""
+        if term > self.known_term:
+            self.known_term = term
+        if self.leading and term > self.term:
+            self.step_down("higher term")
+
+    def check_fence(self) -> None:
+        """Note when a majority had taken in our term, and older support had run out."""
+        if not self.leading or self.fenced_at is not None or self.peers is None:
+            return
+        votes = 1 + sum(1 for hello, _ in self.peers.answers(-1e8) if hello.term >= self.term)
+        if votes * 2 > self.settings.nodes:
+            self.fenced_at = steady() + self._support_s * DRIFT
+
+    # -- the life of a leadership -------------------------------------------------------------
+
+    def step_down(self, why: str) -> None:
+        """Lead no longer."""
+        if self.leading:
+            info("step_down", term=self.term, why=why)
+            self.leading = False
+            self.deadline = -1e9
+            self._tell()
+
+    def _tell(self) -> None:
+        for callback in self.changed:
+            callback()
+
+    async def run(self) -> None:
+        """Renew while leading, else take over whenever the key is free."""
+        while True:
+            try:
+                if self.leading:
+                    await self._renew()
+                    await asyncio.sleep(self.ttl / 4)
+                else:
+                    await self._maybe_take()
+                    await asyncio.sleep(self.ttl / 20)
+            except StateError:
+                await asyncio.sleep(self.ttl / 10)
+
+    async def _renew(self) -> None:
+        started = steady()
+        try:
+            await self.state.renew(self._lease, timeout=self.ttl / 3)
+        except LeaseGone:
+            self.step_down("lease ended")
+            return
+        if started >= self.deadline:  # was out of time: make sure that the key is still ours
+            entry, _ = await self.state.get(keys.LEADER, timeout=self.ttl / 3)
+            if entry is None or entry.version != self.stamp:
+                self.step_down("key lost")
+                return
+        if self.leading:
+            self.deadline = started + self.ttl / DRIFT
+
+    async def _maybe_take(self) -> None:
+        if not self.replica.loaded:
+            return
+        entry = self.replica.get(keys.LEADER)
+        term_entry = self.replica.get(keys.TERM)
+        if term_entry is not None:
+            self.saw_term(int(term_entry.value))
+        if entry is not None and self.leader() != self.settings.node:
+            return
+        # a key that names this very node is from before its restart: that process is dead
+        await asyncio.sleep(self.rng.random() * self.ttl / 40)
+        started = steady()
+        lease = await self.state.new_lease(self.ttl)
+        term = max(self.known_term, int(term_entry.value) if term_entry else 0) + 1
+        conditions = {
+            keys.LEADER: entry.version if entry else 0,
+            keys.TERM: term_entry.version if term_entry else 0,
+        }
+        writes = [Put(keys.LEADER, {"node": self.settings.node, "term": term}, lease), Put(keys.TERM, term)]
+        try:
+            result = await self.state.commit(conditions, list(writes))
+        except StateUnknown:
+            # may have been applied, or may be later: ending its lease makes it fail, or takes the key away
+            await self.state.end_lease(lease)
+            return
+        if not isinstance(result, Committed):
+            await self.state.end_lease(lease)
+            return
+        self._lease, self.stamp, self.revision = lease, result.revision, result.revision
+        self.term = self.known_term = term
+        self.fenced_at = None
+        self.leading = True
+        self.deadline = started + self.ttl / DRIFT
+        info("leading", term=term)
+        self._tell()
--- /dev/null
+++ b/src/passrock/controller/node.py
@@ -0,0 +1,179 @@
+"""A controller process: listens, follows the state, and leads when it is its turn."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import random
+from collections.abc import Awaitable
+
+from passrock import __version__
+from passrock.controller.leadership import Leadership
+from passrock.controller.replica import Replica
+from passrock.controller.term import Term
+from passrock.controller.users import Users
+from passrock.core.admission import Limiter
+from passrock.core.budget import Budget
+from passrock.core.renting import Market
+from passrock.io.clock import steady
+from passrock.io.cloud import CloudClient, CloudError
+from passrock.io.http_client import HttpClient
+from passrock.io.http_server import HttpServer, Request, Response
+from passrock.io.peers import Peers
+from passrock.io.state import StateClient, StateError
+from passrock.logs import debug, info, start_logging
+from passrock.settings import Settings
+from passrock.wire import users as user_wire
+from passrock.wire import workers as worker_wire
+from passrock.wire.cbor import BadBody
+
+STATE_CONNECTIONS = 12
+LEADER_PART = 0.6
+
+
+class Node:
+    """One controller."""
+
+    def __init__(self, settings: Settings, state: StateClient, cloud: CloudClient, rng: random.Random) -> None:
+        self.settings = settings
+        self.state = state
+        self.cloud = cloud
+        self.rng = rng
+        self.market = Market()
+        self.replica = Replica(state)
+        self.leadership = Leadership(settings, state, self.replica, rng)
+        self.leadership.changed.append(self._role_changed)
+        self.peers = Peers(settings.peers, self.leadership.view, self.leadership.heard)
+        self.leadership.peers = self.peers
+        limiter = Limiter(start=32, least=4, most=max(8, settings.fd_limit // 2), slack=settings.report_s / 10)
+        self.users = Users(settings, state, self.replica, self.market, limiter, rng)
+        self.term: Term | None = None
+        self._share_rates(False)
+
+    def _share_rates(self, leading: bool) -> None:
+        """The leader needs most of the state's rates; the others share the rest."""
+        nodes = self.settings.nodes
+        share = LEADER_PART if leading or nodes == 1 else (1 - LEADER_PART) / (nodes - 1)
+        for budget, rate in (
+            (self.state.requests, self.settings.state_rps),
+            (self.state.writes, self.settings.state_write_rps),
+        ):
+            budget.rate = rate * share
+            budget.burst = rate * share
+
+    def _role_changed(self) -> None:
+        if self.term is not None:
+            self.term.stop()
+            self.term = None
+        self._share_rates(self.leadership.leading)
+        if self.leadership.leading:
+            self.term = Term(
+                self.settings,
+                self.state,
+                self.cloud,
+                self.replica,
+                self.leadership,
+                self.market,
+                random.Random(self.rng.random()),
+            )
+            self.term.start()
+
+    # -- requests -----------------------------------------------------------------------------------
+
+    def handle(self, request: Request) -> Response | Awaitable[Response]:
+        """Everything that comes to the client address."""
+        path = request.path
+        if path == worker_wire.CHECKIN_PATH:
+            return self._checkin(request) if request.method == "POST" else Response(405, allow="POST")
+        if path == user_wire.HEALTH_PATH:
+            if request.method != "GET":
+                return Response(405, allow="GET")
+            return Response(200 if self.healthy() else 503)
+        if path == user_wire.RUNS_PATH or path.startswith((user_wire.RUNS_PATH + "/", user_wire.RUNS_PATH + "?")):
+            return self.users.handle(request)
+        return Response(404, user_wire.error_answer("no such path"))
+
+    def healthy(self) -> bool:
+        """Whether users should come here: not when only this node is refused by the state service."""
+        if not self.replica.loaded or not self.market.types:
+            return False
+        now = steady()
+        if not self.state.down(now, 1.5):
+            return True
+        return not any(not hello.state_down for hello, _ in self.peers.answers(now - 3.0))
+
+    def _checkin(self, request: Request) -> Response:
+        try:
+            report = worker_wire.parse_report(request.body)
+        except BadBody as problem:
+            return Response(400, user_wire.error_answer(str(problem)))
+        self.leadership.saw_term(report.token)
+        if not self.leadership.may_renew():
+            leader = self.leadership.leader()
+            return Response(421, worker_wire.redirect(leader if leader != self.settings.node else None))
+        commands = self.term.checkin(report) if self.term is not None else []
+        return Response(200, worker_wire.answer(self.leadership.term, commands))
+
+    # -- running --------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Serve until killed."""
+        settings = self.settings
+        limit = int(settings.fd_limit * settings.operator.socket_share) - STATE_CONNECTIONS
+        server = HttpServer(self.handle, limit, idle_s=60.0, head_s=settings.report_s * 4)
+        listening = await server.start(settings.client_listen.host, settings.client_listen.port)
+        peer_listening = await self.peers.listen(settings.peer_listen)
+        info("serving", version=__version__, node=settings.node, peers=len(settings.peers))
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 50)
+        async with listening, peer_listening:
+            await asyncio.gather(
+                self.replica.run(),
+                self.leadership.run(),
+                self.peers.run(settings.report_s / 3),
+                self._learn_types(),
+                self._beat(),
+            )
+
+    async def _learn_types(self) -> None:
+        """Machine types are needed before anything can be decided."""
+        while not self.market.types:
+            try:
+                self.market.types = await self.cloud.machine_types()
+            except CloudError as problem:
+                debug("types_unknown", problem=problem)
+                await asyncio.sleep(1.0)
+
+    async def _beat(self) -> None:
+        """Know whether the state service answers, also when nobody asks for anything."""
+        every = self.settings.leader_lease_s / 2
+        while True:
+            await asyncio.sleep(every)
+            if steady() - self.state.last_good > every:
+                try:
+                    await self.state.get("p/none", timeout=every)
+                except StateError:
+                    continue
+
+
+def build_node(settings: Settings, rng: random.Random) -> Node:
+    """A node with real clients."""
+    state = StateClient(
+        HttpClient(settings.state, STATE_CONNECTIONS),
+        HttpClient(settings.state, 2),
+        Budget(settings.state_rps, settings.state_rps),
+        Budget(settings.state_write_rps, settings.state_write_rps),
+    )
+    cloud = CloudClient(HttpClient(settings.cloud, 4), Budget(settings.cloud_rps * 0.8, settings.cloud_rps))
+    return Node(settings, state, cloud, rng)
+
+
+def serve(settings: Settings) -> None:
+    """Run a controller until it is killed."""
+    start_logging(settings.node)
+
+    async def main() -> None:
+        await build_node(settings, random.Random()).run()
+
+    asyncio.run(main())
--- /dev/null
+++ b/src/passrock/controller/pump.py
@@ -0,0 +1,155 @@
+"""Commits the leader's changes of job records, one transaction at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from passrock.controller import keys
+from passrock.core.jobs import CANCELLED, DONE, Book, Chunk, Job, encode_spec
+from passrock.io.state import Committed, StateClient, StateError, StateUnknown
+from passrock.logs import debug, info
+from passrock.wire.state import Delete, Put, Write
+
+RETRY_S = 0.2
+
+
+class Batch:
+    """One transaction and what it will have committed."""
+
+    def __init__(self, leader_stamp: int) -> None:
+        self.conditions: dict[str, int] = {keys.LEADER: leader_stamp}
+        self.writes: list[Write] = []
+        self.chunks: list[tuple[Job, int, Chunk, int]] = []
+        self.finals: list[tuple[Job, str]] = []
+        self.orphans: list[str] = []
+
+
+class Pump:
+    """Writes what is dirty, under the condition that this node still leads."""
+
+    def __init__(self, state: StateClient, book: Book, leader_stamp: int, txn_ops: int) -> None:
+        self.state = state
+        self.book = book
+        self.leader_stamp = leader_stamp
+        self.txn_ops = txn_ops
+        self.orphans: list[str] = []
+        self.removed: set[str] = set()
+        self.wake = asyncio.Event()
+        self.on_final: Callable[[str, str], None] = lambda job_id, status: None
+        self.on_commit: Callable[[], None] = lambda: None
+        self.lost: Callable[[], None] = lambda: None
+
+    async def run(self) -> None:
+        """Commit for ever."""
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while self.book.dirty or self.book.finishing or self.orphans:
+                batch = self.build()
+                if not batch.writes:
+                    break
+                if not await self.commit(batch):
+                    await asyncio.sleep(RETRY_S)
+
+    def build(self) -> Batch:
+        """The next transaction, inside the limits on changes and size."""
+        batch = Batch(self.leader_stamp)
+        size_left = 40_000
+        for job_id in list(self.book.finishing):
+            if len(batch.writes) + 3 > self.txn_ops:
+                break
+            self._finish(batch, self.book.jobs[job_id])
+        finishing = {job.spec.id for job, _ in batch.finals}
+        for job_id, number in list(self.book.dirty):
+            if len(batch.writes) + 1 > self.txn_ops or size_left < 0:
+                break
+            if job_id in finishing:
+                continue
+            job = self.book.jobs[job_id]
+            chunk = job.chunks[number]
+            value: dict[str, Any] = chunk.encode()
+            if number == 0:
+                value = {"s": encode_spec(job.spec), "at": job.submitted, **value}
+            size_left -= 700 + 44 * len(chunk.live)
+            key = keys.chunk(job_id, number)
+            batch.conditions[key] = chunk.stamp
+            batch.writes.append(Put(key, value))
+            batch.chunks.append((job, number, chunk, chunk.version))
+        while self.orphans and len(batch.writes) < self.txn_ops and not batch.finals:
+            key = self.orphans.pop()
+            batch.writes.append(Delete(key))
+            batch.orphans.append(key)
+        return batch
+
+    def _finish(self, batch: Batch, job: Job) -> None:
+        job_id = job.spec.id
+        status = CANCELLED if job.cancelled else DONE
+        batch.conditions[keys.job(job_id)] = job.chunk(0).stamp
+        batch.conditions[keys.final(job_id)] = 0
+        batch.writes += [Delete(keys.job(job_id)), Put(keys.final(job_id), {"s": status, "n": job.spec.tasks})]
+        if job.cancelled:
+            batch.writes.append(Delete(keys.cancel(job_id)))
+        else:
+            batch.conditions[keys.cancel(job_id)] = 0
+        batch.finals.append((job, status))
+
+    async def commit(self, batch: Batch) -> bool:
+        """Carry out one transaction; False when it has to be tried again later."""
+        try:
+            result = await self.state.commit(batch.conditions, batch.writes)
+        except StateUnknown:
+            self.orphans += batch.orphans
+            return await self._reread(batch)
+        except StateError as problem:
+            debug("commit_failed", problem=problem)
+            self.orphans += batch.orphans
+            return False
+        if isinstance(result, Committed):
+            for _, _, chunk, version in batch.chunks:
+                chunk.stamp = result.revision
+                chunk.committed = max(chunk.committed, version)
+            for job, number, chunk, version in batch.chunks:
+                if chunk.version == version:
+                    self.book.dirty.pop((job.spec.id, number), None)
+            for job, status in batch.finals:
+                self._ended(job, status)
+            self.on_commit()
+            return True
+        self.orphans += batch.orphans
+        if keys.LEADER in result.failed:
+            self.lost()
+            return False
+        return await self._reread(batch)
+
+    def _ended(self, job: Job, status: str) -> None:
+        info("job_over", job=job.spec.id, status=status)
+        job.final = status
+        self.removed.add(job.spec.id)
+        self.orphans += [keys.chunk(job.spec.id, n) for n, chunk in job.chunks.items() if n and chunk.stamp]
+        self.book.remove(job)
+        self.on_final(job.spec.id, status)
+
+    async def _reread(self, batch: Batch) -> bool:
+        """After a conflict or silence: learn the versions, since only our own writes can have come between.
+
+        What was not confirmed stays dirty and is written again over whichever version is there now.
+        """
+        try:
+            for job, number, chunk, _ in batch.chunks:
+                entry, _ = await self.state.get(keys.chunk(job.spec.id, number))
+                chunk.stamp = entry.version if entry is not None else 0
+            for job, _ in batch.finals:
+                ended, _ = await self.state.get(keys.final(job.spec.id))
+                if ended is not None:
+                    self._ended(job, ended.value["s"])
+                    continue
+                entry, _ = await self.state.get(keys.job(job.spec.id))
+                job.chunk(0).stamp = entry.version if entry is not None else 0
+                mark, _ = await self.state.get(keys.cancel(job.spec.id))
+                if mark is not None and not job.cancelled:
+                    self.book.cancel(job)
+        except StateError:
+            return False
+        return True
--- /dev/null
+++ b/src/passrock/controller/rentals.py
@@ -0,0 +1,185 @@
+"""Machines rented and given back: intents written ahead, answers remembered, deletions repeated."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from passrock.controller import keys
+from passrock.controller.leadership import Leadership
+from passrock.core.fleet import Fleet, Listed, Machine
+from passrock.core.renting import Market, Offer
+from passrock.io.clock import steady
+from passrock.io.cloud import CloudClient, CloudError, NoCapacity
+from passrock.io.state import Committed, StateClient, StateError
+from passrock.logs import debug, info
+from passrock.settings import Settings
+from passrock.wire.cloud import MOST_PER_DELETE, MOST_PER_RENTAL
+from passrock.wire.state import Delete, Entry, Put
+
+RETRY_S = 1.0
+
+
+class Rentals:
+    """The leader's dealings with the cloud."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        state: StateClient,
+        cloud: CloudClient,
+        market: Market,
+        fleet: Fleet,
+        leadership: Leadership,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.cloud = cloud
+        self.market = market
+        self.fleet = fleet
+        self.leadership = leadership
+        self.on_gone: Callable[[str], None] = lambda name: None
+        self.on_change: Callable[[], None] = lambda: None
+        self.pending: dict[Offer, int] = {}
+        self.leaving: dict[str, None] = {}
+        self.running: set[asyncio.Task[None]] = set()
+        self._count = 0
+        self._wake = asyncio.Event()
+        self._listed_up: dict[str, float] = {}
+
+    # -- renting ----------------------------------------------------------------------------------
+
+    def rent(self, offer: Offer, count: int) -> None:
+        """Rent, unless a request for the same kind is on its way."""
+        if offer in self.pending:
+            return
+        self._count += 1
+        name = f"{self.leadership.term}-{self._count}"
+        count = min(count, MOST_PER_RENTAL)
+        self.pending[offer] = count
+        self._spawn(self._rent(name, offer, count, written=False))
+
+    def resume(self, intents: list[Entry]) -> None:
+        """Repeat the requests that an earlier leader may have left unanswered."""
+        for entry in intents:
+            value = entry.value
+            offer = Offer(value["ty"], value["z"], value["sp"])
+            self._spawn(self._rent(entry.key[len(keys.INTENT) :], offer, value["n"], written=True))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+
+    async def _rent(self, name: str, offer: Offer, count: int, written: bool) -> None:
+        try:
+            if not written:
+                value = {"ty": offer.type, "z": offer.zone, "sp": offer.spot, "n": count}
+                result = await self.state.commit(
+                    {keys.LEADER: self.leadership.stamp}, [Put(keys.INTENT + name, value)]
+                )
+                if not isinstance(result, Committed):
+                    self.leadership.step_down("leader key lost")
+                    return
+            await self._ask(name, offer, count)
+        except StateError as problem:
+            debug("rent_unwritten", request=name, problem=problem)
+        finally:
+            self.pending.pop(offer, None)
+            self.on_change()
+
+    async def _ask(self, name: str, offer: Offer, count: int) -> None:
+        while self.leadership.leading:
+            try:
+                machines = await self.cloud.rent(name, offer.type, offer.zone, offer.spot, count)
+            except NoCapacity:
+                self._refuse(offer)
+                machines = ()
+            except CloudError as problem:
+                debug("rent_unanswered", request=name, problem=problem)
+                await asyncio.sleep(RETRY_S)
+                continue
+            info("rented", request=name, zone=offer.zone, spot=offer.spot, asked=count, got=len(machines))
+            if len(machines) < count:
+                self._refuse(offer)
+            kind = self.market.types[offer.type]
+            for machine in machines:
+                if machine not in self.fleet.deleted:
+                    self.fleet.add(machine, kind, offer.zone, offer.spot, steady())
+            self._spawn(self._settle(name, set(machines)))
+            return
+
+    def _refuse(self, offer: Offer) -> None:
+        self.market.refuse(offer, steady() + self.market.types[offer.type].boot_s / 2)
+
+    async def _settle(self, name: str, machines: set[str]) -> None:
+        """Drop the intent once its machines would be found without it."""
+        if machines:
+            await asyncio.sleep(self.settings.list_lag_s * 4)
+        try:
+            await self.state.commit({keys.LEADER: self.leadership.stamp}, [Delete(keys.INTENT + name)])
+        except StateError:
+            debug("intent_kept", request=name)
+
+    # -- giving back ------------------------------------------------------------------------------
+
+    def delete(self, machine: Machine) -> None:
+        """Give a machine back; nothing is placed on it from now on."""
+        machine.deleting = True
+        self.delete_unknown(machine.name)
+
+    def delete_unknown(self, name: str) -> None:
+        """Have a machine deleted of which only the name is known."""
+        if name not in self.leaving:
+            self.leaving[name] = None
+            self._wake.set()
+
+    async def deletions(self) -> None:
+        """Delete what is leaving, for ever."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self.leaving:
+                names = list(self.leaving)[:MOST_PER_DELETE]
+                try:
+                    await self.cloud.delete(names)
+                except CloudError as problem:
+                    debug("delete_unanswered", count=len(names), problem=problem)
+                    await asyncio.sleep(RETRY_S)
+                    continue
+                for name in names:
+                    self.leaving.pop(name, None)
+                    self.fleet.forget(name, steady())
+                    self.on_gone(name)
+
+    # -- the list -----------------------------------------------------------------------------------
+
+    async def list_machines(self) -> None:
+        """Read the machine list now and then: the only source on machines nobody knows of."""
+        while True:
+            try:
+                self._listed(await self.cloud.machines())
+                self.market.types = await self.cloud.machine_types()
+            except CloudError as problem:
+                debug("list_failed", problem=problem)
+            await asyncio.sleep(max(self.settings.list_lag_s, 2.0))
+
+    def _listed(self, rows: list[Listed]) -> None:
+        now = steady()
+        for row in rows:
+            kind = self.market.types.get(row.type)
+            if row.name in self.fleet.deleted or kind is None:
+                continue
+            known = row.name in self.fleet.machines
+            machine = self.fleet.add(row.name, kind, row.zone, row.spot, now, row.age)
+            if not known:
+                info("machine_found", machine=row.name, zone=row.zone, spot=row.spot, status=row.status)
+                self.on_change()
+            if row.status == "failed":
+                self.delete(machine)
+            elif row.status == "running" and not machine.up:
+                first = self._listed_up.setdefault(row.name, now)
+                if now - first > self.settings.lease_s * 2 and not machine.deleting:
+                    info("machine_mute", machine=row.name)
+                    self.delete(machine)
--- /dev/null
+++ b/src/passrock/controller/replica.py
@@ -0,0 +1,148 @@
+"""Each node's copy of the state, kept up by a watch, and the reads that answers to users rest on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable
+from threading import Lock
+
+from passrock.controller import keys
+from passrock.io.state import StateClient, StateError, TooOld
+from passrock.logs import info
+from passrock.wire.state import Change, Entry
+
+WATCH_MS = 4000
+FINALS_KEPT = 20_000
+RETRY_S = 0.3
+
+Listener = Callable[[str, Entry | None], None]
+
+
+class Replica:
+    """A copy of all keys but the final ones, which are only cached."""
+
+    def __init__(self, state: StateClient) -> None:
+        self.state = state
+        self.entries: dict[str, Entry] = {}
+        self.finals: OrderedDict[str, str] = OrderedDict()
+        self.revision = -1
+        self.loaded = False
+        self.listeners: list[Listener] = []
+        self._lock = Lock()
+        self._moved = asyncio.Event()
+
+    async def run(self) -> None:
+        """Load, then follow the changes, for ever."""
+        while True:
+            try:
+                if not self.loaded:
+                    await self._load()
+                changes, revision = await self.state.changes(keys.ROOT, self.revision, WATCH_MS)
+                self._take(changes, revision)
+            except TooOld:
+                self.loaded = False
+            except StateError:
+                await asyncio.sleep(RETRY_S)
+
+    async def _load(self) -> None:
+        fresh: dict[str, Entry] = {}
+        start: int | None = None
+        for prefix in (keys.JOB, keys.CHUNK, keys.CANCEL, keys.INTENT, keys.RESERVATION, keys.LEADER, keys.TERM):
+            after, more = "", True
+            while more:
+                rows, more, revision = await self.state.page(prefix, after)
+                start = revision if start is None else min(start, revision)
+                fresh.update((row.key, row) for row in rows)
+                after = rows[-1].key if rows else ""
+                more = more and bool(rows)
+        with self._lock:
+            gone = [key for key in self.entries if key not in fresh]
+            self.entries = fresh
+            self.revision = start or 0
+            self.loaded = True
+        info("replica_loaded", keys=len(fresh), revision=self.revision)
+        for key in gone:
+            self._tell(key, None)
+        for key, entry in fresh.items():
+            self._tell(key, entry)
+        self._wake()
+
+    def _take(self, changes: list[Change], revision: int) -> None:
+        for change in changes:
+            entry = Entry(change.key, change.value, change.version) if change.present else None
+            if change.key.startswith(keys.FINAL):
+                if entry is not None:
+                    self.note_final(change.key[len(keys.FINAL) :], entry.value["s"])
+                continue
+            with self._lock:
+                known = self.entries.get(change.key)
+                if known is not None and known.version > change.version:
+                    continue
+                if entry is None:
+                    self.entries.pop(change.key, None)
+                else:
+                    self.entries[change.key] = entry
+            self._tell(change.key, entry)
+        if revision > self.revision:
+            self.revision = revision
+            self._wake()
+
+    def _tell(self, key: str, entry: Entry | None) -> None:
+        for listener in list(self.listeners):
+            listener(key, entry)
+
+    def _wake(self) -> None:
+        self._moved.set()
+        self._moved = asyncio.Event()
+
+    def note_final(self, job_id: str, status: str) -> None:
+        """Remember how a job ended; this never changes again."""
+        with self._lock:
+            self.finals[job_id] = status
+            if len(self.finals) > FINALS_KEPT:
+                self.finals.popitem(last=False)
+
+    async def reach(self, revision: int, timeout: float) -> bool:
+        """Wait until the copy includes ``revision``."""
+        try:
+            async with asyncio.timeout(timeout):
+                while not self.loaded or self.revision < revision:
+                    await self._moved.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def get(self, key: str) -> Entry | None:
+        """A key as the copy has it."""
+        return self.entries.get(key)
+
+    def with_prefix(self, prefix: str) -> list[Entry]:
+        """All keys with a prefix, as the copy has them."""
+        with self._lock:
+            return [entry for key, entry in self.entries.items() if key.startswith(prefix)]
+
+
+class ReadFence:
+    """One read of the store's revision serves everyone who asked before it was sent."""
+
+    def __init__(self, state: StateClient, replica: Replica, gap: float) -> None:
+        self.state = state
+        self.replica = replica
+        self.gap = gap
+        self._next: asyncio.Task[bool] | None = None
+
+    async def passed(self) -> bool:
+        """Whether the copy now includes all that was committed before this call."""
+        if self._next is None:
+            self._next = asyncio.ensure_future(self._read())
+        return await asyncio.shield(self._next)
+
+    async def _read(self) -> bool:
+        await asyncio.sleep(self.gap)
+        self._next = None  # whoever asks from here on needs a later read
+        try:
+            _, revision = await self.state.get(keys.NOWHERE, timeout=1.0)
+        except StateError:
+            return False
+        return await self.replica.reach(revision, 0.7)
--- /dev/null
+++ b/src/passrock/controller/term.py
@@ -0,0 +1,330 @@
+"""One term of leadership: the leader's books, rounds, check-ins, rentals."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from passrock.controller import keys
+from passrock.controller.leadership import Leadership
+from passrock.controller.pump import Pump
+from passrock.controller.rentals import Rentals
+from passrock.controller.replica import Replica
+from passrock.core.checkin import Checkins
+from passrock.core.fleet import Command, Fleet, Report
+from passrock.core.jobs import Book, Job, chunk_tasks
+from passrock.core.model import Priority
+from passrock.core.placement import Placer, stop_softly
+from passrock.core.renting import Market, plan_rentals, plan_returns
+from passrock.core.reservation import Binding, Claim, Unit, bind
+from passrock.io.clock import steady
+from passrock.io.cloud import CloudClient
+from passrock.io.state import Committed, StateClient, StateError
+from passrock.logs import error, info
+from passrock.settings import Settings
+from passrock.wire.state import Entry, Put, Write
+
+
+class Term:
+    """Everything that ends with the leadership."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        state: StateClient,
+        cloud: CloudClient,
+        replica: Replica,
+        leadership: Leadership,
+        market: Market,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.replica = replica
+        self.leadership = leadership
+        self.market = market
+        self.rng = rng
+        self.began = steady()
+        operator = settings.operator
+        self.book = Book(chunk_tasks(settings.value_bytes))
+        self.fleet = Fleet(settings.report_s, settings.lease_s, operator.silent_ratio, self.began)
+        self.checkins = Checkins(self.book, self.fleet, leadership.term)
+        self.bound: dict[str, str] = {}
+        self.placer = Placer(self.book, self.fleet, settings.teams, self.bound)
+        self.pump = Pump(state, self.book, leadership.stamp, settings.txn_ops)
+        self.pump.on_final = replica.note_final
+        self.pump.on_commit = self.poke
+        self.pump.lost = lambda: leadership.step_down("leader key lost")
+        self.rentals = Rentals(settings, state, cloud, market, self.fleet, leadership)
+        self.rentals.on_gone = self.machine_gone
+        self.rentals.on_change = self.poke
+        self.ready = False
+        self.round_due = 0.0
+        self.recorded: dict[str, list[str]] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        self._poked = asyncio.Event()
+        self._last_tick = self.began
+
+    # -- beginning and end ------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Begin the term's work."""
+        self.tasks = [asyncio.ensure_future(self._guard(self._run()))]
+
+    def stop(self) -> None:
+        """End it; nothing of the term acts any more."""
+        for task in self.tasks:
+            task.cancel()
+        if self._listen in self.replica.listeners:
+            self.replica.listeners.remove(self._listen)
+
+    async def _guard(self, work: Any) -> None:
+        try:
+            await work
+        except asyncio.CancelledError:
+            raise
+        except Exception as problem:  # a term that can't go on must not pretend to lead
+            error("term_failed", problem=repr(problem))
+            self.leadership.step_down("internal failure")
+            raise
+
+    async def _run(self) -> None:
+        while not await self.replica.reach(self.leadership.revision, 1.0):
+            pass
+        while not self.market.types:
+            await asyncio.sleep(0.1)
+        self._load()
+        self.tasks += [
+            asyncio.ensure_future(self._guard(work))
+            for work in (self.pump.run(), self.rentals.list_machines(), self.rentals.deletions())
+        ]
+        self.rentals.resume(self.replica.with_prefix(keys.INTENT))
+        while True:
+            try:
+                async with asyncio.timeout(self.settings.report_s / 4):
+                    await self._poked.wait()
+            except TimeoutError:
+                pass
+            self._poked.clear()
+            self.tick()
+            await asyncio.sleep(self.settings.report_s / 20)
+
+    def _load(self) -> None:
+        now = steady()
+        jobs = sorted(self.replica.with_prefix(keys.JOB), key=lambda e: (e.value["at"], e.key))
+        for entry in jobs:
+            self.book.load(entry.value, entry.version, now)
+        for entry in self.replica.with_prefix(keys.CHUNK):
+            job_id, _, number = entry.key[len(keys.CHUNK) :].rpartition("/")
+            job = self.book.jobs.get(job_id)
+            if job is None:
+                self.pump.orphans.append(entry.key)
+            else:
+                self.book.load_chunk(job, int(number), entry.value, entry.version)
+        for entry in self.replica.with_prefix(keys.CANCEL):
+            job = self.book.jobs.get(entry.key[len(keys.CANCEL) :])
+            if job is not None:
+                self.book.cancel(job)
+        for job in list(self.book.jobs.values()):
+            self.book.check_loaded(job)
+        for entry in self.replica.with_prefix(keys.RESERVATION):
+            team = entry.key[len(keys.RESERVATION) :]
+            self.recorded[team] = entry.value["m"]
+            self.bound.update(dict.fromkeys(entry.value["m"], team))
+        self.replica.listeners.append(self._listen)
+        self.ready = True
+        info("term_ready", term=self.leadership.term, jobs=len(self.book.jobs), machines=len(self.book.held))
+        self.pump.wake.set()
+
+    def _listen(self, key: str, entry: Entry | None) -> None:
+        """A change of the state: new jobs and cancellations come this way."""
+        if key.startswith(keys.JOB):
+            job_id = key[len(keys.JOB) :]
+            if entry is None:
+                self.pump.removed.discard(job_id)
+            elif job_id not in self.book.jobs and job_id not in self.pump.removed:
+                job = self.book.load(entry.value, entry.version, steady())
+                info("job_new", job=job_id, team=job.spec.team, kind=job.spec.kind, tasks=job.spec.tasks)
+                self.poke()
+        elif key.startswith(keys.CANCEL) and entry is not None:
+            job_or_none = self.book.jobs.get(key[len(keys.CANCEL) :])
+            if job_or_none is not None and not job_or_none.cancelled:
+                info("job_cancelled", job=job_or_none.spec.id)
+                self.book.cancel(job_or_none)
+                self.pump.wake.set()
+                self.poke()
+
+    def poke(self) -> None:
+        """Something changed: look again soon."""
+        self._poked.set()
+
+    # -- check-ins ---------------------------------------------------------------------------------
+
+    def checkin(self, report: Report) -> list[Command]:
+        """Commands for a worker; its lease is renewed by the answer."""
+        now = steady()
+        kind = self.market.types.get(report.type)
+        if not self.ready or kind is None:
+            return []
+        known = self.fleet.machines.get(report.machine)
+        was_up = known is not None and known.up
+        machine = self.fleet.observe(report, kind, now)
+        if machine is None:
+            return []
+        machine.answered = now
+        if machine.notice_until is not None and not machine.deleting:
+            self._drain(machine.name, now)
+        commands = self.checkins.handle(machine, report, now, launch=self.leadership.firm())
+        if not was_up:
+            info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
+        if self.checkins.changed or not was_up:
+            self.poke()
+        if self.book.dirty or self.book.finishing:
+            self.pump.wake.set()
+        return commands
+
+    def _drain(self, name: str, now: float) -> None:
+        """The cloud takes the machine soon: let its tasks save, gangs as a whole."""
+        for live in list(self.book.held.get(name, {}).values()):
+            for mate in list(live.job.lives()) if live.job.spec.kind == "gang" else [live]:
+                stop_softly(mate, now, mate.job.spec.save)
+
+    def machine_gone(self, name: str) -> None:
+        """The cloud has confirmed that a machine is gone."""
+        lost = self.book.machine_gone(name, steady())
+        self.bound.pop(name, None)
+        info("machine_gone", machine=name, tasks=lost)
+        self.pump.wake.set()
+        self.poke()
+
+    # -- the leader's look at everything ---------------------------------------------------------
+
+    def tick(self) -> None:
+        """Evidence, placement, preemption, renting, and a round when one is due."""
+        now = steady()
+        if now - self._last_tick > self.settings.report_s:
+            self.fleet.began = now  # this process stood still: silence in that time proves nothing
+        self._last_tick = now
+        if not self.leadership.firm():
+            return
+        self.leadership.check_fence()
+        self._watch_machines(now)
+        started = self.placer.run(now)
+        for live in started:
+            info("place", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=live.machine)
+        queue = [job for job in self.placer.queue(now) if job.waiting > 0]
+        self._preempt(queue, now)
+        if now >= self.round_due:
+            self._round(now)
+        self._rent(queue, now)
+        if self.book.dirty or self.book.finishing:
+            self.pump.wake.set()
+
+    def _watch_machines(self, now: float) -> None:
+        fleet = self.fleet
+        up = [m for m in fleet.machines.values() if m.up and not m.deleting]
+        silent = [m for m in up if fleet.silent(m, now)]
+        if len(silent) * 2 <= len(up) + 2:
+            for machine in silent:
+                if machine.name in self.book.held or now - machine.heard > self.settings.lease_s:
+                    info("machine_silent", machine=machine.name, for_s=round(now - machine.heard, 1))
+                    self.rentals.delete(machine)
+        for machine in up:
+            if fleet.lease_over(machine, now, self.leadership.fenced_at) and machine.name in self.book.held:
+                info("lease_over", machine=machine.name)
+                self.book.machine_gone(machine.name, now)
+            if machine.notice_until is not None and machine.name not in self.book.held and not machine.strays:
+                self.rentals.delete(machine)
+            if len(machine.failed_jobs) > 1:
+                info("machine_faulty", machine=machine.name, jobs=len(machine.failed_jobs))
+                self._drain(machine.name, now)
+                if machine.name not in self.book.held:
+                    self.rentals.delete(machine)
+        for machine in list(fleet.machines.values()):
+            if not machine.up and not machine.deleting:
+                age = now - machine.since
+                if age > 3 * machine.type.boot_s + self.settings.lease_s:
+                    info("machine_late", machine=machine.name, age=round(age))
+                    self.rentals.delete(machine)
+        if now - fleet.began > 2 * fleet.silent_s:
+            for name in list(self.book.held):
+                if name not in fleet.machines and name not in fleet.deleted:
+                    self.rentals.delete_unknown(name)
+                elif name in fleet.deleted:
+                    self.machine_gone(name)
+
+    def _preempt(self, queue: list[Job], now: float) -> None:
+        for job in queue:
+            if job.spec.priority < Priority.HIGH and not self.placer.entitled(job):
+                continue
+            if now - job.order < self.settings.report_s:
+                continue
+            for live in self.placer.make_room(job, now, self.settings.lease_s):
+                info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
+                stop_softly(live, now, self.settings.gang_peer_s)
+
+    def _rent(self, queue: list[Job], now: float) -> None:
+        wanted = plan_rentals(queue, self.book, self.fleet, self.settings.teams, self.market, now)
+        for offer, count in wanted.items():
+            self.rentals.rent(offer, count)
+        if queue:
+            return
+        operator = self.settings.operator
+        patience = {
+            name: max(operator.idle_floor_s, operator.idle_boot_ratio * kind.boot_s)
+            for name, kind in self.market.types.items()
+        }
+        for machine in plan_returns(self.fleet, self.book, self.market, set(), patience, now):
+            info("machine_return", machine=machine.name)
+            self.rentals.delete(machine)
+
+    # -- the binding round -----------------------------------------------------------------------
+
+    def _round(self, now: float) -> None:
+        self.round_due = now + self.settings.operator.round_s
+        result = self._bind(now)
+        self.bound.clear()
+        self.bound.update(result.owner)
+        records: dict[str, list[str]] = {team: [] for team in self.settings.teams}
+        for name, team in sorted(result.owner.items()):
+            records[team].append(name)
+        changed = {team: names for team, names in records.items() if names != self.recorded.get(team, [])}
+        info("round", machines=len(result.owner), short=len(result.short), changed=len(changed))
+        if changed:
+            self.tasks.append(asyncio.ensure_future(self._record(changed)))
+        self.tasks = [task for task in self.tasks if not task.done()]
+
+    def _bind(self, now: float) -> Binding:
+        whole = max((kind.size.gpus for kind in self.market.types.values()), default=1.0) or 1.0
+        units = []
+        for machine in self.fleet.machines.values():
+            if machine.deleting or machine.notice_until is not None:
+                continue
+            lives = self.book.held.get(machine.name, {})
+            teams = frozenset(live.job.spec.team for live in lives.values())
+            units.append(Unit(machine.name, machine.zone, machine.type.size.gpus / whole, not lives, teams))
+        claims = []
+        for team in self.settings.teams.values():
+            asked = self.placer.demand(team.name).gpus
+            if team.gpus_max > 0:
+                asked = min(asked, team.gpus_max)
+            desired = asked / whole
+            claims.append(Claim(team.name, desired, team.gpus / whole, desired * self.settings.operator.buffer_share))
+        return bind(units, claims, self.bound, self.settings.zones, self.settings.operator.alpha_extra)
+
+    async def _record(self, changed: dict[str, list[str]]) -> None:
+        """Write the reservations that changed, a transaction's worth at a time."""
+        teams = sorted(changed)
+        while teams:
+            now_teams, teams = teams[: self.settings.txn_ops], teams[self.settings.txn_ops :]
+            writes: list[Write] = [Put(keys.RESERVATION + team, {"m": changed[team]}) for team in now_teams]
+            try:
+                result = await self.state.commit({keys.LEADER: self.leadership.stamp}, writes)
+            except StateError:
+                return  # the next round writes what still differs
+            if not isinstance(result, Committed):
+                self.leadership.step_down("leader key lost")
+                return
+            for team in now_teams:
+                self.recorded[team] = changed[team]
--- /dev/null
+++ b/src/passrock/controller/users.py
@@ -0,0 +1,272 @@
+"""Users' requests, answered by any controller."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable
+from dataclasses import dataclass
+
+from passrock.controller import keys
+from passrock.controller.replica import ReadFence, Replica
+from passrock.core.admission import Limiter, fault
+from passrock.core.jobs import CANCELLED, DONE, new_record
+from passrock.core.model import Spec
+from passrock.core.renting import Market
+from passrock.io.clock import steady, time_of_day
+from passrock.io.http_server import Request, Response
+from passrock.io.state import Committed, StateClient, StateError, StateUnknown
+from passrock.logs import debug
+from passrock.settings import Settings
+from passrock.wire import users as wire
+from passrock.wire.cbor import BadBody
+from passrock.wire.state import Put, Write
+
+SUBMIT_PATIENCE_S = 3.5
+READ_TRIES = 3
+
+
+@dataclass(slots=True, frozen=True)
+class Known:
+    """What a user may be told of a job."""
+
+    status: str
+    done: int = 0
+    running: int = 0
+
+
+class Unavailable(Exception):
+    """The answer can't be given now."""
+
+
+class Submitter:
+    """Accepts jobs, several in one transaction when many come at once."""
+
+    def __init__(self, state: StateClient, txn_ops: int) -> None:
+        self.state = state
+        self.most = max(1, txn_ops - 1)
+        self.queue: list[tuple[Spec, asyncio.Future[bool]]] = []
+        self.busy = False
+
+    async def submit(self, spec: Spec) -> bool:
+        """True when accepted now, False when known already; raises StateError otherwise."""
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.queue.append((spec, future))
+        if not self.busy:
+            self.busy = True
+            task = asyncio.ensure_future(self._drain())
+            task.add_done_callback(lambda done: done.exception())
+        return await future
+
+    async def _drain(self) -> None:
+        try:
+            while self.queue:
+                batch: dict[str, tuple[Spec, list[asyncio.Future[bool]]]] = {}
+                rest: list[tuple[Spec, asyncio.Future[bool]]] = []
+                for spec, future in self.queue:
+                    if spec.id in batch:
+                        batch[spec.id][1].append(future)
+                    elif len(batch) < self.most and not future.done():
+                        batch[spec.id] = (spec, [future])
+                    elif not future.done():
+                        rest.append((spec, future))
+                self.queue = rest
+                if batch:
+                    await self._commit(batch)
+        finally:
+            self.busy = False
+
+    async def _commit(self, batch: dict[str, tuple[Spec, list[asyncio.Future[bool]]]]) -> None:
+        conditions: dict[str, int] = {}
+        writes: list[Write] = []
+        for spec, _ in batch.values():
+            conditions[keys.job(spec.id)] = 0
+            conditions[keys.final(spec.id)] = 0
+            writes.append(Put(keys.job(spec.id), new_record(spec, time_of_day())))
+        try:
+            result = await self.state.commit(conditions, writes)
+        except StateError as error:
+            for _, futures in batch.values():
+                for future in futures:
+                    if not future.done():
+                        future.set_exception(error)
+            return
+        failed = set() if isinstance(result, Committed) else set(result.failed)
+        for spec, futures in batch.values():
+            known = keys.job(spec.id) in failed or keys.final(spec.id) in failed
+            for future in futures:
+                if future.done():
+                    continue
+                if known:
+                    future.set_result(False)
+                elif failed:
+                    self.queue.append((spec, future))
+                else:
+                    future.set_result(True)
+
+
+class Users:
+    """The user interface of one node."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        state: StateClient,
+        replica: Replica,
+        market: Market,
+        limiter: Limiter,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.state = state
+        self.replica = replica
+        self.market = market
+        self.limiter = limiter
+        self.rng = rng
+        self.fence = ReadFence(state, replica, 1.0 / settings.state_rps)
+        self.submitter = Submitter(state, settings.txn_ops)
+
+    def handle(self, request: Request) -> Response | Awaitable[Response]:
+        """Answer, or refuse at once when too much is in progress."""
+        path, _, _ = request.path.partition("?")
+        if path == wire.RUNS_PATH:
+            if request.method != "POST":
+                return Response(405, allow="POST")
+            return self._limited(self._submit(request))
+        rest = path[len(wire.RUNS_PATH) + 1 :]
+        if rest.endswith(wire.WITHDRAW_END):
+            if request.method != "POST":
+                return Response(405, allow="POST")
+            return self._limited(self._withdraw(rest[: -len(wire.WITHDRAW_END)]))
+        if not rest or "/" in rest:
+            return Response(404, wire.error_answer("no such path"))
+        if request.method != "GET":
+            return Response(405, allow="GET")
+        return self._limited(self._query(rest))
+
+    def _limited(self, work: Awaitable[Response]) -> Response | Awaitable[Response]:
+        if not self.limiter.enter():
+            work.close()  # type: ignore[attr-defined]
+            return self._refuse(429)
+        return self._measured(work)
+
+    async def _measured(self, work: Awaitable[Response]) -> Response:
+        started = steady()
+        failed = True
+        try:
+            response = await work
+            failed = response.status >= 500
+            return response
+        except (StateError, Unavailable) as problem:
+            debug("user_unserved", problem=problem)
+            return self._refuse(503)
+        finally:
+            self.limiter.leave(steady() - started, failed)
+
+    def _refuse(self, status: int) -> Response:
+        wait = self.limiter.retry_after()
+        return Response(status, wire.error_answer("busy, come back later"), retry_after=wait)
+
+    # -- what is known ------------------------------------------------------------------------
+
+    def _unfinished(self, job_id: str) -> Known | None:
+        entry = self.replica.get(keys.job(job_id))
+        if entry is None:
+            return None
+        if self.replica.get(keys.cancel(job_id)) is not None:
+            return Known(CANCELLED)
+        value = entry.value
+        spec = value["s"]
+        done, running = int(value["d"], 16).bit_count(), len(value["l"])
+        if spec["n"] > 0 and keys.chunk(job_id, 1) and spec["n"] > done + running:
+            for chunk in self.replica.with_prefix(f"{keys.CHUNK}{job_id}/"):
+                done += int(chunk.value["d"], 16).bit_count()
+                running += len(chunk.value["l"])
+        return Known("running" if running else "queued", done, running)
+
+    async def _look_up(self, job_id: str) -> Known | None:
+        """The job's state, not older than this call; None when there is no such job."""
+        status = self.replica.finals.get(job_id)
+        if status is not None:
+            return Known(status)
+        for _ in range(READ_TRIES):
+            if await self.fence.passed():
+                known = self._unfinished(job_id)
+                if known is not None:
+                    return known
+                break
+            if self.state.down(steady(), 0.0):
+                raise Unavailable("the state service is down")
+        else:
+            entry, _ = await self.state.get(keys.job(job_id), timeout=0.8)
+            if entry is not None:  # the copy lags: whether it is cancelled has to be read as well
+                mark, _ = await self.state.get(keys.cancel(job_id), timeout=0.8)
+                if mark is not None:
+                    return Known(CANCELLED)
+                return Known("queued", int(entry.value["d"], 16).bit_count(), len(entry.value["l"]))
+        status = self.replica.finals.get(job_id)
+        if status is not None:
+            return Known(status)
+        entry, _ = await self.state.get(keys.final(job_id), timeout=0.8)
+        if entry is None:
+            return None
+        self.replica.note_final(job_id, entry.value["s"])
+        return Known(entry.value["s"], entry.value["n"] if entry.value["s"] == DONE else 0)
+
+    # -- the requests ---------------------------------------------------------------------------
+
+    async def _submit(self, request: Request) -> Response:
+        try:
+            spec = wire.parse_submission(request.body)
+        except BadBody as problem:
+            return Response(400, wire.error_answer(str(problem)))
+        types = self.market.types
+        if not types or not self.replica.loaded:
+            return self._refuse(503)
+        problem_text = fault(spec, self.settings.teams, types)
+        if problem_text is not None:
+            return Response(422, wire.error_answer(problem_text))
+        if self.state.writes.wait(steady()) > 1.0:
+            return self._refuse(429)
+        try:
+            async with asyncio.timeout(SUBMIT_PATIENCE_S):
+                try:
+                    if await self.submitter.submit(spec):
+                        return Response(201, wire.brief_answer(spec.id, "queued"))
+                except StateUnknown:
+                    pass  # it may have been accepted: read before answering
+                known = await self._look_up(spec.id)
+        except TimeoutError:
+            return self._refuse(503)
+        if known is None:
+            return self._refuse(503)
+        return Response(200, wire.brief_answer(spec.id, known.status))
+
+    async def _query(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_answer("no such job"))
+        known = await self._look_up(job_id)
+        if known is None:
+            return Response(404, wire.error_answer("no such job"))
+        done = known.done
+        if known.status == DONE and done == 0:
+            done = 1
+        return Response(200, wire.full_answer(job_id, known.status, done, known.running))
+
+    async def _withdraw(self, job_id: str) -> Response:
+        if not wire.is_job_id(job_id):
+            return Response(404, wire.error_answer("no such job"))
+        for _ in range(READ_TRIES):
+            known = await self._look_up(job_id)
+            if known is None:
+                return Response(404, wire.error_answer("no such job"))
+            if known.status in (DONE, CANCELLED):
+                return Response(200, wire.brief_answer(job_id, known.status))
+            conditions = {keys.final(job_id): 0, keys.cancel(job_id): 0}
+            try:
+                result = await self.state.commit(conditions, [Put(keys.cancel(job_id), {"at": time_of_day()})])
+            except StateUnknown:
+                continue  # read again: it may have been applied
+            if isinstance(result, Committed):
+                return Response(200, wire.brief_answer(job_id, CANCELLED))
+        raise Unavailable("undecided")
--- /dev/null
+++ b/src/passrock/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions only: no sockets, files, timers or clocks."""
--- /dev/null
+++ b/src/passrock/core/budget.py
@@ -0,0 +1,40 @@
+"""A share of a rate: how long to wait before the next use."""
+
+from __future__ import annotations
+
+from threading import Lock
+
+
+class Budget:
+    """Token bucket that hands out its future: each taker is told how long to wait."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate = rate
+        self.burst = burst
+        self._level = burst
+        self._at: float | None = None
+        self._lock = Lock()
+
+    def take(self, now: float, amount: float) -> float:
+        """Use ``amount``; the seconds to wait first."""
+        with self._lock:
+            self._fill(now)
+            self._level -= amount
+            return max(0.0, -self._level / self.rate)
+
+    def wait(self, now: float) -> float:
+        """The seconds that a taker of one would wait now."""
+        with self._lock:
+            self._fill(now)
+            return max(0.0, (1.0 - self._level) / self.rate)
+
+    def refused(self, now: float) -> None:
+        """The service found the rate exceeded: what was left is gone."""
+        with self._lock:
+            self._fill(now)
+            self._level = min(self._level, -self.rate / 4)
+
+    def _fill(self, now: float) -> None:
+        if self._at is not None:
+            self._level = min(self.burst, self._level + (now - self._at) * self.rate)
+        self._at = now
--- /dev/null
+++ b/src/passrock/core/checkin.py
@@ -0,0 +1,132 @@
+"""A worker's report against the records: what has changed, and what to tell the worker."""
+
+from __future__ import annotations
+
+from passrock.core.fleet import Command, Fleet, Machine, Op, Report, TaskReport, TaskState
+from passrock.core.jobs import Book, Job, Live
+from passrock.core.model import NOTHING, Amount
+
+ERROR_BACKOFF_S = 2.0
+ERROR_BACKOFF_MOST = 60.0
+
+
+class Checkins:
+    """Turns reports into changes of the book and commands."""
+
+    def __init__(self, book: Book, fleet: Fleet, term: int) -> None:
+        self.book = book
+        self.fleet = fleet
+        self.term = term
+        self.changed = False
+
+    def handle(self, machine: Machine, report: Report, now: float, launch: bool) -> list[Command]:
+        """Commands in answer to a report that the fleet has just taken in."""
+        self.changed = False
+        commands: list[Command] = []
+        held = self.book.held.get(machine.name, {})
+        for live in [one for one in held.values() if one.session < report.session]:
+            self._gone(live, now)  # a later session has forgotten every task of the earlier ones
+        strays: dict[tuple[str, int], Amount] = {}
+        fetching: dict[str, float] = {}
+        listed: set[tuple[str, int, int]] = set()
+        for row in report.tasks:
+            listed.add((row.job, row.index, row.attempt))
+            live_now = self.book.held.get(machine.name, {}).get((row.job, row.index))
+            match = live_now is not None and live_now.attempt == row.attempt and live_now.session == report.session
+            if row.state is TaskState.EXITED:
+                if match and live_now is not None:
+                    self._exited(live_now, row, machine, now)
+                if self.book.settled(row.job, row.index) and launch:
+                    commands.append(Command(Op.FORGET, row.job, row.index, row.attempt))
+            elif match and live_now is not None:
+                self._present(live_now, row, machine, now)
+                if row.state is TaskState.FETCHING:
+                    fetching[live_now.job.spec.image] = live_now.job.spec.image_gb
+                commands += self._stop(live_now, row)
+            else:
+                job = self.book.jobs.get(row.job)
+                strays[(row.job, row.index)] = NOTHING if job is None else job.spec.need
+                commands.append(Command(Op.STOP, row.job, row.index, row.attempt))
+        machine.strays = strays
+        for live in list(self.book.held.get(machine.name, {}).values()):
+            if (live.job.spec.id, live.index, live.attempt) not in listed:
+                commands += self._absent(live, report, machine, now, launch)
+                if live.state is None:
+                    fetching.setdefault(live.job.spec.image, live.job.spec.image_gb)
+        machine.fetching = {image: gb for image, gb in fetching.items() if image not in machine.images}
+        self._recount(machine, now)
+        return commands
+
+    def _recount(self, machine: Machine, now: float) -> None:
+        used = NOTHING
+        lives = self.book.held.get(machine.name, {})
+        for live in lives.values():
+            used = used + live.job.spec.need
+        machine.used = used
+        if lives or machine.strays:
+            machine.idle_since = None
+        elif machine.idle_since is None:
+            machine.idle_since = now
+
+    def _gone(self, live: Live, now: float) -> None:
+        self.changed = True
+        self.book.gone(live, now)
+
+    def _present(self, live: Live, row: TaskReport, machine: Machine, now: float) -> None:
+        live.seen = True
+        if live.state is not row.state:
+            self.changed = True
+            live.state = row.state
+            if row.state is TaskState.RUNNING and live.running_since is None:
+                live.running_since = now
+        if row.state is not TaskState.FETCHING:
+            machine.fetched(live.job.spec)
+
+    def _stop(self, live: Live, row: TaskReport) -> list[Command]:
+        if live.job.cancelled:
+            live.stop = 0.0
+        if live.stop is None or (row.state is TaskState.SAVING and live.stop > 0):
+            return []
+        return [Command(Op.STOP, row.job, row.index, row.attempt, live.stop)]
+
+    def _absent(self, live: Live, report: Report, machine: Machine, now: float, launch: bool) -> list[Command]:
+        """A recorded attempt that the report does not list.
+
+        Only a report that carries this leader's own term proves absence: an older one may have been
+        held up on its way while a former leader still launched on the machine.
+        """
+        proof = report.token == self.term and (live.sent_seq is None or report.seq > live.sent_seq)
+        unwanted = live.stop is not None or live.job.cancelled or machine.notice_until is not None or machine.deleting
+        if proof and (unwanted or live.seen):
+            self._gone(live, now)
+            return []
+        if unwanted or not launch or not self.book.committed(live):
+            return []
+        live.sent_seq = report.seq
+        return [Command(Op.START, live.job.spec.id, live.index, live.attempt)]
+
+    def _exited(self, live: Live, row: TaskReport, machine: Machine, now: float) -> None:
+        self.changed = True
+        job = live.job
+        if row.why == "done":
+            machine.failed_jobs.pop(job.spec.id, None)
+            job.errors = 0
+            self.book.completed(live)
+            return
+        if row.why == "error":
+            self._failed(job, machine, now)
+        elif row.why in ("no_room", "busy"):
+            machine.blocked_until = now + self.fleet.report_s * 2
+        elif row.why == "unknown":
+            job.not_before = now + self.fleet.report_s * 2
+        self.book.gone(live, now)
+
+    def _failed(self, job: Job, machine: Machine, now: float) -> None:
+        """A task failed: mostly the machine is at fault, but a job may fail wherever it is started."""
+        machine.failed_jobs[job.spec.id] = now
+        machine.blocked_until = max(machine.blocked_until, now + self.fleet.lease_s)
+        job.avoid.add(machine.name)
+        job.errors += 1
+        if len(job.avoid) > 1:
+            backoff = ERROR_BACKOFF_S * 2 ** min(job.errors, 6)
+            job.not_before = now + min(backoff, ERROR_BACKOFF_MOST)
--- /dev/null
+++ b/src/passrock/core/fleet.py
@@ -0,0 +1,199 @@
+"""Machines, and what is evidence about them."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from passrock.core.model import NOTHING, Amount, MachineType, Spec
+
+# Two controllers' clocks may differ by 0.05 % each way; leases are waited out with this factor.
+DRIFT = 1.002
+
+
+class TaskState(Enum):
+    """What a worker says of a task."""
+
+    FETCHING = auto()
+    WAITING = auto()
+    RUNNING = auto()
+    SAVING = auto()
+    EXITED = auto()
+
+
+class Op(Enum):
+    """What a worker can be told about a task."""
+
+    START = auto()
+    STOP = auto()
+    FORGET = auto()
+
+
+@dataclass(slots=True, frozen=True)
+class Command:
+    """One command to a worker."""
+
+    op: Op
+    job: str
+    index: int
+    attempt: int
+    grace: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class TaskReport:
+    """One task in a worker's report."""
+
+    job: str
+    index: int
+    attempt: int
+    state: TaskState
+    why: str
+    saved: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Report:
+    """A worker's check-in."""
+
+    machine: str
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    notice: float | None
+    tasks: list[TaskReport]
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """A machine in the cloud's list."""
+
+    name: str
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    status: str
+    age: float
+
+
+@dataclass(slots=True)
+class Machine:
+    """A machine as the leader knows it."""
+
+    name: str
+    type: MachineType
+    zone: str
+    spot: bool
+    since: float
+    up: bool = False
+    session: int = 0
+    seq: int = -1
+    heard: float = 0.0
+    answered: float = 0.0
+    notice_until: float | None = None
+    deleting: bool = False
+    blocked_until: float = 0.0
+    idle_since: float | None = None
+    failed_jobs: dict[str, float] = field(default_factory=dict)
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    fetching: dict[str, float] = field(default_factory=dict)
+    strays: dict[tuple[str, int], Amount] = field(default_factory=dict)
+    used: Amount = NOTHING
+
+    @property
+    def room(self) -> Amount:
+        """What is left for further tasks."""
+        free = self.type.size - self.used
+        for amount in self.strays.values():
+            free = free - amount
+        return free
+
+    def fetched(self, spec: Spec) -> None:
+        """The machine has this image now; the least recently used ones make room."""
+        self.fetching.pop(spec.image, None)
+        self.images[spec.image] = spec.image_gb
+        self.images.move_to_end(spec.image)
+        while len(self.images) > 1 and sum(self.images.values()) > self.type.cache_gb:
+            self.images.popitem(last=False)
+
+    def fetch_wait(self, spec: Spec) -> float:
+        """Seconds until a task of this job would have its image here."""
+        if spec.image in self.images:
+            return 0.0
+        waiting = sum(self.fetching.values())
+        if spec.image not in self.fetching:
+            waiting += spec.image_gb
+        return waiting / self.type.fetch_rate if self.type.fetch_rate > 0 else 0.0
+
+
+class Fleet:
+    """All machines of one leader's term."""
+
+    def __init__(self, report_s: float, lease_s: float, silent_ratio: float, began: float) -> None:
+        self.report_s = report_s
+        self.lease_s = lease_s
+        self.silent_s = max(lease_s * silent_ratio, report_s * 2.5)
+        self.began = began
+        self.machines: dict[str, Machine] = {}
+        self.deleted: dict[str, float] = {}
+
+    def add(self, name: str, kind: MachineType, zone: str, spot: bool, now: float, age: float = 0.0) -> Machine:
+        """A machine that was rented or listed; known ones stay as they are."""
+        machine = self.machines.get(name)
+        if machine is None:
+            machine = Machine(name, kind, zone, spot, since=now - age, heard=now)
+            machine.answered = now
+            self.machines[name] = machine
+        return machine
+
+    def observe(self, report: Report, kind: MachineType, now: float) -> Machine | None:
+        """Take in a report; None when it is older than one already taken in, or its machine is gone."""
+        if report.machine in self.deleted:
+            return None
+        machine = self.add(report.machine, kind, report.zone, report.spot, now)
+        if (report.session, report.seq) <= (machine.session, machine.seq):
+            return None
+        if not machine.up:
+            machine.up = True
+            machine.idle_since = now
+        machine.session, machine.seq = report.session, report.seq
+        machine.heard = now
+        if report.notice is not None:
+            machine.notice_until = now + report.notice
+        return machine
+
+    def forget(self, name: str, now: float) -> None:
+        """The cloud has taken the machine: nothing of it is left."""
+        self.machines.pop(name, None)
+        self.deleted[name] = now
+
+    def silent(self, machine: Machine, now: float) -> bool:
+        """Whether an up machine has not been heard of for too long."""
+        return machine.up and now - max(machine.heard, self.began) > self.silent_s
+
+    def usable(self, machine: Machine, now: float) -> bool:
+        """Whether tasks may be placed on the machine now."""
+        return (
+            machine.up
+            and not machine.deleting
+            and machine.notice_until is None
+            and machine.blocked_until <= now
+            and now - machine.heard <= self.report_s * 2.5
+        )
+
+    def lease_over(self, machine: Machine, now: float, fenced_at: float | None) -> bool:
+        """Whether the worker's lease has ended and nobody can have renewed it.
+
+        ``fenced_at`` is when a majority of controllers had acknowledged this leader's term and the
+        last support for an older one had run out; without it an older leader might still be
+        answering the worker, so that the lease proves nothing.
+        """
+        if fenced_at is None or not machine.up:
+            return False
+        return now - max(machine.answered, fenced_at) > self.lease_s * DRIFT + self.report_s
--- /dev/null
+++ b/src/passrock/core/placement.py
@@ -0,0 +1,354 @@
+"""Tasks to machines: order, fit, zones, limits, gangs, images, preemption."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from passrock.core.fleet import Fleet, Machine, TaskState
+from passrock.core.jobs import Book, Job, Live
+from passrock.core.model import NOTHING, Amount, Kind, Priority, Team
+
+# Costs are in seconds, so that they weigh against the wait for an image.
+PACK_COST = 15.0
+FOREIGN_COST = 4.0
+DEAR_COST = 10.0
+TOGETHER_COST = 10.0
+AVOID_COST = 1000.0
+ARRAY_BATCH = 64
+
+
+@dataclass(slots=True)
+class Hold:
+    """A machine kept free for a job whose victims are on their way out."""
+
+    job: str
+    until: float
+
+
+@dataclass(slots=True)
+class Rooms:
+    """Room per machine during one pass, with tentative use taken off."""
+
+    room: dict[str, Amount] = field(default_factory=dict)
+
+    def of(self, machine: Machine) -> Amount:
+        """What is left on the machine."""
+        room = self.room.get(machine.name)
+        if room is None:
+            room = self.room[machine.name] = machine.room
+        return room
+
+    def take(self, machine: Machine, need: Amount) -> None:
+        """Use some of it."""
+        self.room[machine.name] = self.of(machine) - need
+
+    def give(self, machine: Machine, need: Amount) -> None:
+        """Undo a tentative use."""
+        self.room[machine.name] = self.of(machine) + need
+
+
+class Placer:
+    """Places waiting tasks; one pass at a time."""
+
+    def __init__(self, book: Book, fleet: Fleet, teams: dict[str, Team], bound: dict[str, str]) -> None:
+        self.book = book
+        self.fleet = fleet
+        self.teams = teams
+        self.bound = bound
+        self.holds: dict[str, Hold] = {}
+        self.rooms = Rooms()
+        self.usable: list[Machine] = []
+        self.strays: set[tuple[str, int]] = set()
+        self.stray_use: dict[str, Amount] = {}
+
+    # -- order ---------------------------------------------------------------------------
+
+    def demand(self, team: str) -> Amount:
+        """What all unfinished jobs of a team ask for."""
+        total = NOTHING
+        for job in self.book.jobs.values():
+            if job.spec.team == team and not job.cancelled:
+                total = total + job.spec.need.times(job.spec.tasks - job.done_count)
+        return total
+
+    def entitled(self, job: Job) -> bool:
+        """Whether the job's next task would stay within its team's guarantee."""
+        team = self.teams.get(job.spec.team)
+        if team is None:
+            return False
+        count = job.spec.tasks if job.spec.kind is Kind.GANG else 1
+        used = self.book.usage.get(team.name, NOTHING)
+        return team.within_guarantee(used + job.spec.need.times(count))
+
+    def queue(self, now: float) -> list[Job]:
+        """Jobs with tasks that may be placed now, most urgent first."""
+        ready = [
+            job
+            for job in self.book.jobs.values()
+            if job.waiting > 0
+            and not job.cancelled
+            and job.not_before <= now
+            and job.final is None
+            and not (job.spec.kind is Kind.GANG and job.live_count > 0)
+        ]
+
+        def rank(job: Job) -> tuple[bool, bool, int, float]:
+            production = job.spec.priority is Priority.PRODUCTION
+            return (not production, not self.entitled(job), -int(job.spec.priority), job.order)
+
+        return sorted(ready, key=rank)
+
+    # -- one pass --------------------------------------------------------------------------
+
+    def run(self, now: float) -> list[Live]:
+        """Start what fits; returns the new attempts."""
+        self.rooms = Rooms()
+        self.usable = [m for m in self.fleet.machines.values() if self.fleet.usable(m, now)]
+        self.holds = {name: hold for name, hold in self.holds.items() if hold.until > now}
+        self.strays = set()
+        self.stray_use = {}
+        for machine in self.fleet.machines.values():
+            for (job_id, index), need in machine.strays.items():
+                self.strays.add((job_id, index))
+                job = self.book.jobs.get(job_id)
+                if job is not None:
+                    team = job.spec.team
+                    self.stray_use[team] = self.stray_use.get(team, NOTHING) + need
+        started: list[Live] = []
+        if not self.usable:
+            return started
+        for job in self.queue(now):
+            if job.spec.kind is Kind.GANG:
+                started += self.place_gang(job, now)
+            else:
+                started += self.place_each(job, now)
+        return started
+
+    def allowed_now(self, job: Job, count: int) -> bool:
+        """Whether the team's limit has room for ``count`` more tasks, possibly-there ones counted."""
+        team = self.teams[job.spec.team]
+        used = self.book.usage.get(team.name, NOTHING) + self.stray_use.get(team.name, NOTHING)
+        return team.within_limit(used + job.spec.need.times(count))
+
+    def cost(self, job: Job, machine: Machine) -> float:
+        """How dear this machine is for a task of the job."""
+        spec = job.spec
+        left = (self.rooms.of(machine) - spec.need).share_of(machine.type.size)
+        cost = machine.fetch_wait(spec) + PACK_COST * left
+        owner = self.bound.get(machine.name)
+        if owner is not None and owner != spec.team:
+            cost += FOREIGN_COST
+        if spec.spot and not machine.spot:
+            cost += DEAR_COST
+        if machine.name in job.avoid:
+            cost += AVOID_COST
+        if spec.kind is Kind.SERVICE and any(key[0] == spec.id for key in self.book.held.get(machine.name, ())):
+            cost += TOGETHER_COST
+        return cost
+
+    def candidates(self, job: Job, zone: str | None) -> list[Machine]:
+        """Usable machines that the job may use at all."""
+        spec = job.spec
+        return [
+            machine
+            for machine in self.usable
+            if spec.allows(machine.type.name, machine.zone, machine.spot)
+            and (zone is None or machine.zone == zone)
+            and spec.need.fits(self.rooms.of(machine))
+            and self.free_for(job, machine)
+        ]
+
+    def free_for(self, job: Job, machine: Machine) -> bool:
+        """Whether the machine isn't held for another job."""
+        hold = self.holds.get(machine.name)
+        return hold is None or hold.job == job.spec.id
+
+    def choose(self, job: Job, zone: str | None, counts: dict[str, int]) -> Machine | None:
+        """The best machine for one more task, given the tasks per zone."""
+        cap = job.spec.zone_cap()
+        fitting = [
+            machine
+            for machine in self.candidates(job, zone)
+            if not job.spec.spread or counts.get(machine.zone, 0) < cap
+        ]
+        return min(fitting, key=lambda machine: (self.cost(job, machine), machine.name), default=None)
+
+    def fixed_zone(self, job: Job, counts: dict[str, int]) -> str | None:
+        """The zone where further tasks must go, when others are there already."""
+        return next(iter(counts)) if job.spec.one_zone and counts else None
+
+    def place_each(self, job: Job, now: float) -> list[Live]:
+        """Tasks of an array or replicas, one by one."""
+        counts = job.zone_counts(self.fleet)
+        if "?" in counts and (job.spec.one_zone or job.spec.spread):
+            return []  # a task is somewhere that is not known yet
+        started = []
+        for index in job.next_waiting(ARRAY_BATCH):
+            if (job.spec.id, index) in self.strays:
+                continue
+            if not self.allowed_now(job, 1):
+                break
+            machine = self.choose(job, self.fixed_zone(job, counts), counts)
+            if machine is None:
+                break
+            self.rooms.take(machine, job.spec.need)
+            counts[machine.zone] = counts.get(machine.zone, 0) + 1
+            started.append(self.book.start(job, index, machine, job.attempt_for(index), now))
+        job.advance()
+        return started
+
+    def gang_zones(self, job: Job) -> list[str | None]:
+        """The zones to try for a gang; None stands for all together."""
+        if not job.spec.one_zone:
+            return [None]
+        return list(dict.fromkeys(machine.zone for machine in self.usable))
+
+    def place_gang(self, job: Job, now: float) -> list[Live]:
+        """All tasks of a gang or none."""
+        spec = job.spec
+        if any(key[0] == spec.id for key in self.strays) or not self.allowed_now(job, spec.tasks):
+            return []
+        best: tuple[float, list[Machine]] | None = None
+        for zone in self.gang_zones(job):
+            chosen: list[Machine] = []
+            counts: dict[str, int] = {}
+            worst = total = 0.0
+            for _ in range(spec.tasks):
+                machine = self.choose(job, zone, counts)
+                if machine is None:
+                    break
+                worst = max(worst, machine.fetch_wait(spec))
+                total += self.cost(job, machine)
+                self.rooms.take(machine, spec.need)
+                counts[machine.zone] = counts.get(machine.zone, 0) + 1
+                chosen.append(machine)
+            for machine in chosen:
+                self.rooms.give(machine, spec.need)
+            if len(chosen) == spec.tasks:
+                price = worst + total / spec.tasks
+                if best is None or price < best[0]:
+                    best = (price, chosen)
+        if best is None:
+            return []
+        attempt = job.attempt_for(0)
+        started = []
+        for index, machine in enumerate(best[1]):
+            self.rooms.take(machine, spec.need)
+            started.append(self.book.start(job, index, machine, attempt, now))
+        job.advance()
+        return started
+
+    # -- preemption ------------------------------------------------------------------------
+
+    def may_stop(self, victim: Live, job: Job, entitled: bool) -> bool:
+        """PROTOCOL's reasons: higher priority, or work beyond another team's guarantee."""
+        other = victim.job
+        if other is job or other.cancelled:
+            return False
+        if other.spec.priority < job.spec.priority:
+            return True
+        if not entitled or other.spec.team == job.spec.team:
+            return False
+        team = self.teams.get(other.spec.team)
+        return team is not None and not team.within_guarantee(self.book.usage.get(team.name, NOTHING))
+
+    def loss(self, victim: Live, now: float) -> float:
+        """Seconds of work lost when this task is stopped, over its whole gang."""
+        spec = victim.job.spec
+        ran = 0.0 if victim.running_since is None else now - victim.running_since
+        lost = spec.save if spec.checkpoint > 0 else ran
+        restart = 5.0
+        count = victim.job.live_count if spec.kind is Kind.GANG else 1
+        return (lost + restart) * count * max(1.0, spec.need.gpus)
+
+    def make_room(self, job: Job, now: float, patience: float) -> list[Live]:
+        """Choose victims so that the job's waiting tasks fit; returns the attempts to stop."""
+        spec = job.spec
+        if any(hold.job == spec.id for hold in self.holds.values()):
+            return []  # earlier victims are still on their way out
+        entitled = self.entitled(job)
+        wanted = spec.tasks if spec.kind is Kind.GANG else len(job.next_waiting(ARRAY_BATCH))
+        while wanted > 0 and not self.allowed_now(job, wanted):
+            wanted = 0 if spec.kind is Kind.GANG else wanted - 1
+        if wanted == 0:
+            return []
+        counts = {} if spec.kind is Kind.GANG else job.zone_counts(self.fleet)
+        best: tuple[float, list[tuple[Machine, list[Live]]]] | None = None
+        zones: Iterable[str | None] = [None]
+        if spec.one_zone:
+            zones = [self.fixed_zone(job, counts)] if counts else self.gang_zones(job)
+        for zone in zones:
+            plan = self.cheapest(job, zone, dict(counts), wanted, entitled, now)
+            whole = spec.kind is not Kind.GANG or len(plan[1]) == wanted
+            if plan[1] and whole and (best is None or plan[0] < best[0]):
+                best = plan
+        if best is None:
+            return []
+        victims: dict[tuple[str, int], Live] = {}
+        for machine, stopped in best[1]:
+            self.holds[machine.name] = Hold(spec.id, now + patience)
+            for live in stopped:
+                mates = live.job.lives() if live.job.spec.kind is Kind.GANG else [live]
+                victims.update({mate.key: mate for mate in mates})
+        return list(victims.values())
+
+    def cheapest(
+        self, job: Job, zone: str | None, counts: dict[str, int], wanted: int, entitled: bool, now: float
+    ) -> tuple[float, list[tuple[Machine, list[Live]]]]:
+        """Machines with the victims on each, for as many of ``wanted`` tasks as can be had."""
+        spec = job.spec
+        options = []
+        for machine in self.usable:
+            if not spec.allows(machine.type.name, machine.zone, machine.spot) or not self.free_for(job, machine):
+                continue
+            if (zone is not None and machine.zone != zone) or machine.name in job.avoid:
+                continue
+            found = self.victims(job, machine, entitled, now)
+            if found is not None:
+                options.append((found[0] + machine.fetch_wait(spec), machine.name, machine, found[1]))
+        options.sort(key=lambda option: option[:2])
+        cap = spec.zone_cap()
+        total = 0.0
+        chosen: list[tuple[Machine, list[Live]]] = []
+        for price, _, machine, stopped in options:
+            if len(chosen) == wanted:
+                break
+            if spec.spread and counts.get(machine.zone, 0) >= cap:
+                continue
+            counts[machine.zone] = counts.get(machine.zone, 0) + 1
+            total += price
+            chosen.append((machine, stopped))
+        return total, chosen
+
+    def victims(self, job: Job, machine: Machine, entitled: bool, now: float) -> tuple[float, list[Live]] | None:
+        """The cheapest attempts on a machine whose end lets one task of the job fit."""
+        need = job.spec.need
+        room = self.rooms.of(machine)
+        if need.fits(room):
+            return 0.0, []
+        lives = self.book.held.get(machine.name, {}).values()
+        for live in lives:
+            if live.stop is not None:  # on its way out already
+                room = room + live.job.spec.need
+        choice = sorted(
+            (live for live in lives if live.stop is None and self.may_stop(live, job, entitled)),
+            key=lambda live: (live.job.spec.priority, self.loss(live, now), live.key),
+        )
+        total = 0.0
+        stopped: list[Live] = []
+        for live in choice:
+            if need.fits(room):
+                break
+            room = room + live.job.spec.need
+            total += self.loss(live, now)
+            stopped.append(live)
+        return (total, stopped) if need.fits(room) else None
+
+
+def stop_softly(live: Live, now: float, patience: float) -> None:
+    """Ask a task to end, with time to save where it has checkpoints."""
+    if live.stop is None:
+        can_save = live.job.spec.checkpoint > 0 and live.state is TaskState.RUNNING
+        live.stop = max(patience, live.job.spec.save) if can_save else 0.0
+        live.stop_at = now
--- /dev/null
+++ b/src/passrock/core/renting.py
@@ -0,0 +1,192 @@
+"""What to rent for waiting work, and which idle machines to give back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from passrock.core.fleet import Fleet, Machine
+from passrock.core.jobs import Book, Job
+from passrock.core.model import NOTHING, Amount, Kind, MachineType, Team
+
+LEAST_CHARGED_S = 60.0  # the cloud charges a deleted machine for at least this long
+TASKS_SEEN = 64
+
+
+@dataclass(slots=True, frozen=True)
+class Offer:
+    """A kind of machine that can be rented."""
+
+    type: str
+    zone: str
+    spot: bool
+
+
+@dataclass(slots=True)
+class Bin:
+    """A machine that is on its way, or would be rented."""
+
+    offer: Offer
+    room: Amount
+    ordered: bool
+
+
+@dataclass(slots=True)
+class Market:
+    """What is known of the cloud: types with prices, and what was refused until when."""
+
+    types: dict[str, MachineType] = field(default_factory=dict)
+    refused: dict[Offer, float] = field(default_factory=dict)
+
+    def price(self, offer: Offer) -> float:
+        """The current price an hour."""
+        kind = self.types[offer.type]
+        return kind.spot_price if offer.spot else kind.price
+
+    def offers(self, job: Job, now: float) -> list[Offer]:
+        """What the job may use and the cloud has not refused lately, cheapest first."""
+        found = [
+            Offer(kind.name, zone, spot)
+            for kind in self.types.values()
+            if job.spec.need.fits(kind.size)
+            for zone in kind.zones
+            for spot in (True, False)
+            if job.spec.allows(kind.name, zone, spot)
+        ]
+        open_ones = [offer for offer in found if self.refused.get(offer, 0.0) <= now]
+        return sorted(open_ones, key=lambda offer: (self.price(offer), offer.zone))
+
+    def refuse(self, offer: Offer, until: float) -> None:
+        """None to be had for a while."""
+        self.refused[offer] = until
+
+
+def in_reach(job: Job, teams: dict[str, Team], used: dict[str, Amount]) -> int:
+    """How many of the job's waiting tasks the team's limit would let run, given planned use."""
+    team = teams[job.spec.team]
+    count = min(job.waiting, TASKS_SEEN)
+    if job.spec.kind is Kind.GANG:
+        return count if team.within_limit(used.get(team.name, NOTHING) + job.spec.need.times(count)) else 0
+    while count and not team.within_limit(used.get(team.name, NOTHING) + job.spec.need.times(count)):
+        count -= 1
+    return count
+
+
+def plan_rentals(
+    queue: list[Job], book: Book, fleet: Fleet, teams: dict[str, Team], market: Market, now: float
+) -> dict[Offer, int]:
+    """How many machines of which kind to rent so that the queue's tasks find room.
+
+    Machines on their way are filled first. A gang that must stay in one zone counts the room that
+    the zone has already.
+    """
+    bins = [
+        Bin(Offer(m.type.name, m.zone, m.spot), m.type.size, True)
+        for m in fleet.machines.values()
+        if not m.up and not m.deleting
+    ]
+    rooms = [
+        Bin(Offer(m.type.name, m.zone, m.spot), m.room, True) for m in fleet.machines.values() if fleet.usable(m, now)
+    ]
+    used = dict(book.usage)
+    wanted: dict[Offer, int] = {}
+    for job in queue:
+        count = in_reach(job, teams, used)
+        if count == 0:
+            continue
+        used[job.spec.team] = used.get(job.spec.team, NOTHING) + job.spec.need.times(count)
+        if job.spec.kind is Kind.GANG:
+            added = _gang_bins(job, count, bins, rooms, market, now)
+        else:
+            added = _each_bins(job, count, bins, market, now)
+        for new in added:
+            bins.append(new)
+            wanted[new.offer] = wanted.get(new.offer, 0) + 1
+    return wanted
+
+
+def _suits(job: Job, one: Bin, zone: str | None) -> bool:
+    offer = one.offer
+    return (
+        job.spec.allows(offer.type, offer.zone, offer.spot)
+        and (zone is None or offer.zone == zone)
+        and job.spec.need.fits(one.room)
+    )
+
+
+def _each_bins(job: Job, count: int, bins: list[Bin], market: Market, now: float) -> list[Bin]:
+    added: list[Bin] = []
+    for _ in range(count):
+        fitting = [one for one in bins + added if _suits(job, one, None)]
+        if fitting:
+            one = min(fitting, key=lambda one: one.room.gpus)
+        else:
+            offers = market.offers(job, now)
+            if not offers:
+                break
+            one = Bin(offers[0], market.types[offers[0].type].size, False)
+            added.append(one)
+        one.room = one.room - job.spec.need
+    return added
+
+
+def _gang_bins(job: Job, count: int, bins: list[Bin], rooms: list[Bin], market: Market, now: float) -> list[Bin]:
+    offers = market.offers(job, now)
+    zones: list[str | None] = [None]
+    if job.spec.one_zone:
+        zones = list(dict.fromkeys([offer.zone for offer in offers] + [one.offer.zone for one in bins + rooms]))
+    best: tuple[float, list[tuple[Bin, int]], Offer | None, int] | None = None
+    for zone in zones:
+        here = [offer for offer in offers if zone is None or offer.zone == zone]
+        takes: list[tuple[Bin, int]] = []
+        missing = count
+        for one in rooms + bins:
+            slots = 0
+            room = one.room
+            while slots < missing and _suits(job, Bin(one.offer, room, True), zone):
+                room = room - job.spec.need
+                slots += 1
+            if slots:
+                takes.append((one, slots))
+                missing -= slots
+        if missing and not here:
+            continue
+        price = missing * market.price(here[0]) if missing else 0.0
+        if best is None or price < best[0]:
+            best = (price, takes, here[0] if missing else None, missing)
+    if best is None:
+        return []
+    for one, slots in best[1]:
+        one.room = one.room - job.spec.need.times(slots)
+    added: list[Bin] = []
+    offer = best[2]
+    if offer is not None:
+        size = market.types[offer.type].size
+        missing = best[3]
+        while missing:
+            new = Bin(offer, size, False)
+            while missing and job.spec.need.fits(new.room):
+                new.room = new.room - job.spec.need
+                missing -= 1
+            added.append(new)
+    return added
+
+
+def plan_returns(
+    fleet: Fleet, book: Book, market: Market, kept: set[str], patience: dict[str, float], now: float
+) -> list[Machine]:
+    """Idle machines that have waited long enough for work.
+
+    A cheap spot machine may wait longer than a dear one, in the ratio of their prices, and no
+    machine goes before the time that is charged anyway.
+    """
+    going = []
+    for machine in fleet.machines.values():
+        if not machine.up or machine.deleting or machine.idle_since is None or machine.name in kept:
+            continue
+        if machine.name in book.held:
+            continue
+        price = machine.type.spot_price if machine.spot else machine.type.price
+        wait = patience[machine.type.name] * (machine.type.price / price if price > 0 else 1.0)
+        if now - machine.idle_since >= wait and now - machine.since >= LEAST_CHARGED_S:
+            going.append(machine)
+    return sorted(going, key=lambda m: (m.spot, m.idle_since or 0.0))
--- /dev/null
+++ b/src/passrock/io/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, timers and clients round the core."""
--- /dev/null
+++ b/src/passrock/io/peers.py
@@ -0,0 +1,149 @@
+"""What controllers tell each other: msgspec messages, each behind its length."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from passrock.io.clock import steady
+from passrock.logs import debug
+from passrock.settings import Address, Peer
+
+LENGTH = 4
+MESSAGE_LIMIT = 16 * 1024
+
+
+class Hello(msgspec.Struct, frozen=True):
+    """A controller's view: the highest term it knows, who leads, and how it sees the state service."""
+
+    node: str
+    term: int
+    leader: str | None
+    state_down: bool
+    has_read: bool
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Hello)
+
+
+def frame(message: Hello) -> bytes:
+    """A message with its length."""
+    body = _encoder.encode(message)
+    return len(body).to_bytes(LENGTH, "big") + body
+
+
+class PeerConnection(asyncio.Protocol):
+    """Takes whole messages out of a connection, in either role."""
+
+    def __init__(self, receive: Callable[[PeerConnection, Hello], None]) -> None:
+        self.receive = receive
+        self.transport: asyncio.Transport | None = None
+        self.buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while len(self.buffer) >= LENGTH:
+            size = int.from_bytes(self.buffer[:LENGTH], "big")
+            if size > MESSAGE_LIMIT:
+                self.drop("too long")
+                return
+            if len(self.buffer) < LENGTH + size:
+                return
+            body, self.buffer = self.buffer[LENGTH : LENGTH + size], self.buffer[LENGTH + size :]
+            try:
+                message = _decoder.decode(body)
+            except msgspec.DecodeError as error:
+                self.drop(str(error))
+                return
+            self.receive(self, message)
+
+    def send(self, message: Hello) -> None:
+        """Write a message, if still connected."""
+        if self.transport is not None:
+            self.transport.write(frame(message))
+
+    def drop(self, reason: str) -> None:
+        """Close on something that is not a message."""
+        debug("peer_malformed", reason=reason)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class PeerLink:
+    """Asks one peer again and again; keeps its last answer and when that was asked for."""
+
+    def __init__(self, peer: Peer) -> None:
+        self.peer = peer
+        self.connection: PeerConnection | None = None
+        self.answer: Hello | None = None
+        self.asked_at = -1e9
+        self._sent: list[float] = []
+
+    async def ask(self, hello: Hello, timeout: float) -> None:
+        """Send our view; the answer arrives later or never."""
+        if self.connection is None or self.connection.transport is None:
+            self._sent.clear()
+            loop = asyncio.get_running_loop()
+            address = self.peer.address
+            try:
+                async with asyncio.timeout(timeout):
+                    _, self.connection = await loop.create_connection(
+                        lambda: PeerConnection(self._answered), address.host, address.port
+                    )
+            except (OSError, TimeoutError):
+                return
+        if len(self._sent) > 8:  # a peer that has stopped answering: begin again
+            self.connection.drop("no answers")
+            self.connection = None
+            return
+        self._sent.append(steady())
+        self.connection.send(hello)
+
+    def _answered(self, connection: PeerConnection, hello: Hello) -> None:
+        if connection is self.connection and self._sent:
+            self.asked_at = self._sent.pop(0)
+            self.answer = hello
+
+
+class Peers:
+    """All other controllers."""
+
+    def __init__(self, peers: tuple[Peer, ...], own_view: Callable[[], Hello], seen: Callable[[Hello], None]) -> None:
+        self.links = [PeerLink(peer) for peer in peers]
+        self.own_view = own_view
+        self.seen = seen
+
+    async def listen(self, address: Address) -> asyncio.Server:
+        """Answer the other controllers."""
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(lambda: PeerConnection(self._asked), address.host, address.port)
+
+    def _asked(self, connection: PeerConnection, hello: Hello) -> None:
+        self.seen(hello)
+        connection.send(self.own_view())
+
+    async def run(self, every: float) -> None:
+        """Ask every peer again and again."""
+        while True:
+            hello = self.own_view()
+            await asyncio.gather(*(link.ask(hello, every) for link in self.links))
+            for link in self.links:
+                if link.answer is not None:
+                    self.seen(link.answer)
+            await asyncio.sleep(every)
+
+    def answers(self, since: float) -> list[tuple[Hello, float]]:
+        """Answers to what was asked after ``since``, with the time of asking."""
+        return [
+            (link.answer, link.asked_at) for link in self.links if link.answer is not None and link.asked_at >= since
+        ]
--- /dev/null
+++ b/src/passrock/io/state.py
@@ -0,0 +1,166 @@
+"""Client of the state service, inside its request and write rates."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from passrock.core.budget import Budget
+from passrock.io.clock import steady
+from passrock.io.http_client import HttpClient, NoAnswer
+from passrock.wire import state as wire
+from passrock.wire.cbor import BadBody
+from passrock.wire.state import Change, Entry, Write
+
+
+class StateError(Exception):
+    """The call did not succeed and was not carried out."""
+
+
+class StateUnknown(StateError):
+    """No answer: the call may have been carried out, or may yet be."""
+
+
+class LeaseGone(StateError):
+    """The lease has ended."""
+
+
+class TooOld(StateError):
+    """The watch's start is no longer kept."""
+
+
+@dataclass(slots=True, frozen=True)
+class Committed:
+    """A transaction that was applied."""
+
+    revision: int
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """A transaction whose conditions failed."""
+
+    failed: tuple[str, ...]
+
+
+class StateClient:
+    """The state service's calls; knows since when the service has not been served."""
+
+    def __init__(self, http: HttpClient, watch_http: HttpClient, requests: Budget, writes: Budget) -> None:
+        self.http = http
+        self.watch_http = watch_http
+        self.requests = requests
+        self.writes = writes
+        self.last_good = -1e9
+        self.refused_since: float | None = None
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", timeout: float = 1.5, changes: int = 0
+    ) -> tuple[int, bytes]:
+        wait = self.requests.take(steady(), 1)
+        if changes:
+            wait = max(wait, self.writes.take(steady(), changes))
+        if wait > 0:
+            await asyncio.sleep(wait)
+        started = steady()
+        try:
+            status, answer = await self.http.request(method, path, body, timeout)
+        except NoAnswer as error:
+            self._bad(started)
+            raise StateUnknown(str(error)) from error
+        if status == 429:
+            self.requests.refused(steady())
+            raise StateError("over the rate")
+        if status >= 500:
+            self._bad(started)
+            raise StateError("not served")
+        self.last_good = started
+        self.refused_since = None
+        return status, answer
+
+    def _bad(self, started: float) -> None:
+        if self.refused_since is None:
+            self.refused_since = started
+
+    def down(self, now: float, after: float) -> bool:
+        """Whether nothing has been served for longer than ``after``."""
+        return self.refused_since is not None and now - self.refused_since >= after
+
+    async def get(self, key: str, timeout: float = 1.5) -> tuple[Entry | None, int]:
+        """The key, or None; and for a missing key the store's revision."""
+        status, body = await self._call("GET", wire.get_path(key), timeout=timeout)
+        try:
+            if status == 404:
+                return None, wire.parse_revision(body)
+            if status == 200:
+                return wire.parse_entry(body), 0
+        except BadBody as error:
+            raise StateError(f"malformed answer: {error}") from error
+        raise StateError(f"status {status}")
+
+    async def page(self, prefix: str, after: str) -> tuple[list[Entry], bool, int]:
+        """One page of keys."""
+        status, body = await self._call("GET", wire.list_path(prefix, after), timeout=5.0)
+        if status != 200:
+            raise StateError(f"status {status}")
+        try:
+            return wire.parse_page(body)
+        except BadBody as error:
+            raise StateError(f"malformed answer: {error}") from error
+
+    async def commit(self, conditions: dict[str, int], writes: list[Write]) -> Committed | Refused:
+        """A transaction; raises StateUnknown when its fate isn't known."""
+        body = wire.commit(conditions, writes)
+        status, answer = await self._call("POST", wire.COMMIT_PATH, body, changes=len(writes))
+        try:
+            if status == 200:
+                return Committed(wire.parse_revision(answer))
+            if status == 409:
+                return Refused(wire.parse_failed(answer))
+        except BadBody as error:
+            raise StateUnknown(f"malformed answer: {error}") from error
+        if status == 400 and b"lease" in answer:
+            raise LeaseGone("no such lease")
+        raise StateError(f"status {status}")
+
+    async def new_lease(self, ttl_s: float) -> int:
+        """A new lease."""
+        status, body = await self._call("POST", wire.LEASES_PATH, wire.lease_request(ttl_s))
+        if status != 200:
+            raise StateError(f"status {status}")
+        try:
+            return wire.parse_lease(body)
+        except BadBody as error:
+            raise StateError(f"malformed answer: {error}") from error
+
+    async def renew(self, lease: int, timeout: float) -> None:
+        """Renew; raises LeaseGone when it has ended."""
+        status, _ = await self._call("POST", wire.renew_path(lease), timeout=timeout)
+        if status == 404:
+            raise LeaseGone("lease ended")
+        if status != 200:
+            raise StateError(f"status {status}")
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease at once."""
+        await self._call("DELETE", wire.lease_path(lease))
+
+    async def changes(self, prefix: str, after: int, wait_ms: int) -> tuple[list[Change], int]:
+        """Wait for changes."""
+        wait = self.requests.take(steady(), 1)
+        if wait > 0:
+            await asyncio.sleep(wait)
+        try:
+            status, body = await self.watch_http.request(
+                "GET", wire.watch_path(prefix, after, wait_ms), timeout=wait_ms / 1000 * 2 + 5.0
+            )
+        except NoAnswer as error:
+            raise StateError(str(error)) from error
+        if status == 410:
+            raise TooOld("changes no longer kept")
+        if status != 200:
+            raise StateError(f"status {status}")
+        try:
+            return wire.parse_changes(body)
+        except BadBody as error:
+            raise StateError(f"malformed answer: {error}") from error
--- /dev/null
+++ b/src/passrock/settings.py
@@ -0,0 +1,287 @@
+"""The platform's TOML file and the operators' HCL file, checked as a whole."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from typing import Any
+
+from passrock.core.model import Team
+
+
+class SettingsError(Exception):
+    """A settings file that can't be used; carries every fault found."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+@dataclass(slots=True, frozen=True)
+class Address:
+    """An IPv4 address and port."""
+
+    host: str
+    port: int
+
+
+@dataclass(slots=True, frozen=True)
+class Peer:
+    """Another controller."""
+
+    node: str
+    zone: str
+    address: Address
+
+
+@dataclass(slots=True, frozen=True)
+class Objective:
+    """An aim on starting or finishing that the platform hands over."""
+
+    kind: str
+    job_class: str
+    within_s: float
+    share: float
+
+
+@dataclass(slots=True, frozen=True)
+class Operator:
+    """Operators' own settings: ratios to the platform's figures. Defaults stand in deploy/passrock.hcl."""
+
+    leader_lease_ratio: float = 0.25
+    silent_ratio: float = 0.5
+    round_s: float = 20.0
+    alpha_extra: float = 0.1
+    buffer_share: float = 0.0
+    idle_boot_ratio: float = 1.0
+    idle_floor_s: float = 20.0
+    socket_share: float = 0.85
+
+
+RANGES: dict[str, tuple[float, float]] = {
+    "leader_lease_ratio": (0.1, 0.5),
+    "silent_ratio": (0.2, 1.0),
+    "round_s": (1.0, 600.0),
+    "alpha_extra": (0.0, 1.0),
+    "buffer_share": (0.0, 1.0),
+    "idle_boot_ratio": (0.0, 20.0),
+    "idle_floor_s": (0.0, 3600.0),
+    "socket_share": (0.2, 0.95),
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """Everything a controller is told at its start."""
+
+    node: str
+    zone: str
+    client_listen: Address
+    peer_listen: Address
+    peers: tuple[Peer, ...]
+    cloud: Address
+    state: Address
+    zones: tuple[str, ...]
+    time_bound_ms: float
+    teams: dict[str, Team]
+    objectives: tuple[Objective, ...]
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+    state_rps: float
+    state_write_rps: float
+    value_bytes: int
+    txn_ops: int
+    cloud_rps: float
+    list_lag_s: float
+    cpu: float
+    mem_mb: float
+    fd_limit: int
+    operator: Operator = field(default_factory=Operator)
+
+    @property
+    def nodes(self) -> int:
+        """How many controllers there are, this one included."""
+        return len(self.peers) + 1
+
+    @property
+    def leader_lease_s(self) -> float:
+        """How long a leader's key lives without renewal."""
+        return self.lease_s * self.operator.leader_lease_ratio
+
+
+class _Reader:
+    """Takes typed fields out of nested tables and collects the faults."""
+
+    def __init__(self, faults: list[str]) -> None:
+        self.faults = faults
+
+    def table(self, where: dict[str, Any], key: str, path: str) -> dict[str, Any]:
+        """A sub-table, empty when it is missing or something else."""
+        value = where.get(key)
+        if isinstance(value, dict):
+            return value
+        self.faults.append(f"{path}{key}: a table is required")
+        return {}
+
+    def rows(self, where: dict[str, Any], key: str, path: str) -> list[dict[str, Any]]:
+        """A list of tables; a missing list is an empty one."""
+        value = where.get(key, [])
+        if isinstance(value, list) and all(isinstance(row, dict) for row in value):
+            return value
+        self.faults.append(f"{path}{key}: a list of tables is required")
+        return []
+
+    def text(self, where: dict[str, Any], key: str, path: str, default: str | None = None) -> str:
+        """A non-empty text."""
+        value = where.get(key, default)
+        if isinstance(value, str) and (value or default == ""):
+            return value
+        self.faults.append(f"{path}{key}: a text is required")
+        return ""
+
+    def number(
+        self,
+        where: dict[str, Any],
+        key: str,
+        path: str,
+        low: float = 0.0,
+        default: float | None = None,
+        above: bool = False,
+    ) -> float:
+        """A number of at least ``low`` (or above it)."""
+        value = where.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            self.faults.append(f"{path}{key}: a number is required")
+            return 1.0
+        if not (value > low if above else value >= low):
+            self.faults.append(f"{path}{key}: {value} must be {'above' if above else 'at least'} {low}")
+            return 1.0
+        return float(value)
+
+    def address(self, where: dict[str, Any], key: str, path: str) -> Address:
+        """An address written as IP:port."""
+        value = where.get(key)
+        if isinstance(value, str):
+            host, colon, port = value.rpartition(":")
+            numbers = host.split(".")
+            good_host = len(numbers) == 4 and all(n.isdigit() and int(n) < 256 for n in numbers)
+            if colon and good_host and port.isdigit() and 0 < int(port) < 65536:
+                return Address(host, int(port))
+        self.faults.append(f"{path}{key}: an address like 10.0.0.1:8080 is required")
+        return Address("0.0.0.0", 1)
+
+
+def read_settings(path: Path, operator_path: Path | None = None) -> Settings:
+    """Read and check both files; raises SettingsError with every fault."""
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError([f"{path}: {error}"]) from error
+    faults: list[str] = []
+    operator = Operator()
+    if operator_path is not None:
+        operator = read_operator(operator_path, faults)
+    settings = parse_settings(data, operator, faults)
+    if faults:
+        raise SettingsError(faults)
+    return settings
+
+
+def parse_settings(data: dict[str, Any], operator: Operator, faults: list[str]) -> Settings:
+    """Turn the platform's table into settings; appends to ``faults``."""
+    read = _Reader(faults)
+    outside = read.table(data, "outside", "")
+    deployment = read.table(data, "deployment", "")
+    workers = read.table(deployment, "workers", "deployment.")
+    state = read.table(deployment, "state", "deployment.")
+    cloud = read.table(deployment, "cloud", "deployment.")
+    limits = read.table(deployment, "resources", "deployment.")
+    zones = deployment.get("zones")
+    if not isinstance(zones, list) or not zones or not all(isinstance(z, str) and z for z in zones):
+        faults.append("deployment.zones: a list of names is required")
+        zones = ["?"]
+    peers = []
+    for i, row in enumerate(read.rows(data, "peers", "")):
+        where = f"peers[{i}]."
+        peers.append(
+            Peer(read.text(row, "node", where), read.text(row, "area", where), read.address(row, "endpoint", where))
+        )
+    teams: dict[str, Team] = {}
+    for i, row in enumerate(read.rows(deployment, "teams", "deployment.")):
+        where = f"deployment.teams[{i}]."
+        name = read.text(row, "name", where)
+        if name in teams:
+            faults.append(f"{where}name: {name} stands there twice")
+        teams[name] = Team(
+            name, *(read.number(row, key, where, default=0.0) for key in ("cpus", "cpus_max", "gpus", "gpus_max"))
+        )
+    objectives = []
+    for i, row in enumerate(read.rows(deployment, "objectives", "deployment.")):
+        where = f"deployment.objectives[{i}]."
+        objectives.append(
+            Objective(
+                read.text(row, "kind", where),
+                read.text(row, "class", where, default=""),
+                read.number(row, "within_s", where, default=0.0),
+                read.number(row, "share", where, default=0.0),
+            )
+        )
+    return Settings(
+        node=read.text(data, "node", ""),
+        zone=read.text(data, "area", ""),
+        client_listen=read.address(data, "client_listen", ""),
+        peer_listen=read.address(data, "peer_listen", ""),
+        peers=tuple(peers),
+        cloud=read.address(outside, "cloud", "outside."),
+        state=read.address(outside, "state", "outside."),
+        zones=tuple(zones),
+        time_bound_ms=read.number(deployment, "time_bound_ms", "deployment.", default=0.0),
+        teams=teams,
+        objectives=tuple(objectives),
+        report_s=read.number(workers, "report_s", "deployment.workers.", above=True),
+        lease_s=read.number(workers, "lease_s", "deployment.workers.", above=True),
+        gang_wait_s=read.number(workers, "gang_wait_s", "deployment.workers.", above=True),
+        gang_peer_s=read.number(workers, "gang_peer_s", "deployment.workers.", above=True),
+        cancel_s=read.number(workers, "cancel_s", "deployment.workers.", above=True),
+        state_rps=read.number(state, "rps", "deployment.state.", above=True),
+        state_write_rps=read.number(state, "write_rps", "deployment.state.", above=True),
+        value_bytes=int(read.number(state, "value_kb", "deployment.state.", low=1.0) * 1024),
+        txn_ops=int(read.number(state, "txn_ops", "deployment.state.", low=4)),
+        cloud_rps=read.number(cloud, "rps", "deployment.cloud.", above=True),
+        list_lag_s=read.number(cloud, "list_lag_s", "deployment.cloud."),
+        cpu=read.number(limits, "cpu", "deployment.resources.", above=True),
+        mem_mb=read.number(limits, "mem_mb", "deployment.resources.", above=True),
+        fd_limit=int(read.number(limits, "fd_limit", "deployment.resources.", low=32)),
+        operator=operator,
+    )
+
+
+def read_operator(path: Path, faults: list[str]) -> Operator:
+    """Read the HCL file; unknown and out-of-range entries are faults by name."""
+    import hcl2  # a slow import, and only needed where operators have such a file
+
+    try:
+        with path.open(encoding="utf-8") as file:
+            data = hcl2.load(file)
+    except Exception as error:  # the parser raises many kinds, all of which mean an unreadable file
+        faults.append(f"{path}: {' '.join(str(error).split())[:200]}")
+        return Operator()
+    known = {f.name for f in fields(Operator)}
+    values: dict[str, float] = {}
+    for key, value in data.items():
+        if key.startswith("__"):
+            continue
+        if key not in known:
+            faults.append(f"{path}: {key}: unknown setting")
+        elif isinstance(value, bool) or not isinstance(value, int | float):
+            faults.append(f"{path}: {key}: a number is required")
+        else:
+            low, high = RANGES[key]
+            if not low <= value <= high:
+                faults.append(f"{path}: {key}: {value} is outside {low} to {high}")
+            values[key] = float(value)
+    return Operator(**values)
--- /dev/null
+++ b/src/passrock/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs for what other programs send and expect; the only place with their names."""
--- /dev/null
+++ b/src/passrock/wire/state.py
@@ -0,0 +1,137 @@
+"""The state service's calls."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from passrock.wire import cbor
+
+LEASES_PATH = "/leases"
+COMMIT_PATH = "/commit"
+PAGE = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """A key with its value and version."""
+
+    key: str
+    value: Any
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """A change of a key; without ``present`` the key was deleted."""
+
+    key: str
+    present: bool
+    value: Any
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Put:
+    """Set a key, attached to a lease where one is given."""
+
+    key: str
+    value: Any
+    lease: int | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Delete:
+    """Remove a key."""
+
+    key: str
+
+
+Write = Put | Delete
+
+
+def get_path(key: str) -> str:
+    """The path of one key."""
+    return f"/kv/{key}"
+
+
+def list_path(prefix: str, after: str = "", limit: int = PAGE) -> str:
+    """The path of one page of keys."""
+    tail = f"&after={after}" if after else ""
+    return f"/kv?prefix={prefix}{tail}&page={limit}"
+
+
+def watch_path(prefix: str, after: int, wait_ms: int) -> str:
+    """The path of one wait for changes."""
+    return f"/changes?prefix={prefix}&after={after}&holdMs={wait_ms}"
+
+
+def renew_path(lease: int) -> str:
+    """The path that renews a lease."""
+    return f"{LEASES_PATH}/{lease}/extend"
+
+
+def lease_path(lease: int) -> str:
+    """The path of a lease."""
+    return f"{LEASES_PATH}/{lease}"
+
+
+def commit(conditions: dict[str, int], writes: list[Write]) -> bytes:
+    """A transaction."""
+    apply: list[dict[str, Any]] = []
+    for write in writes:
+        if isinstance(write, Delete):
+            apply.append({"drop": write.key})
+        elif write.lease is None:
+            apply.append({"set": write.key, "v": write.value})
+        else:
+            apply.append({"set": write.key, "v": write.value, "loan": write.lease})
+    return cbor.encode(
+        {"if": [{"key": key, "stamp": version} for key, version in conditions.items()], "apply": apply}
+    )
+
+
+def lease_request(ttl_s: float) -> bytes:
+    """A request for a new lease."""
+    return cbor.encode({"lifeMs": int(ttl_s * 1000)})
+
+
+def parse_lease(body: bytes) -> int:
+    """The number of a new lease."""
+    return cbor.count(cbor.decode_map(body), "loan")
+
+
+def parse_entry(body: bytes) -> Entry:
+    """One key."""
+    row = cbor.decode_map(body)
+    return Entry(cbor.text(row, "key"), row.get("v"), cbor.count(row, "stamp"))
+
+
+def parse_revision(body: bytes) -> int:
+    """The store's revision in any answer that carries it."""
+    return cbor.count(cbor.decode_map(body), "ledger")
+
+
+def parse_failed(body: bytes) -> tuple[str, ...]:
+    """The keys whose conditions failed."""
+    return cbor.texts(cbor.decode_map(body), "failed")
+
+
+def parse_page(body: bytes) -> tuple[list[Entry], bool, int]:
+    """A page of keys, whether more follow, and the revision."""
+    data = cbor.decode_map(body)
+    rows = [
+        Entry(cbor.text(row, "key"), row.get("v"), cbor.count(row, "stamp")) for row in cbor.maps(data, "entries")
+    ]
+    return rows, cbor.flag(data, "truncated", False), cbor.count(data, "ledger")
+
+
+def parse_changes(body: bytes) -> tuple[list[Change], int]:
+    """The changes of a watch and the revision up to which they go."""
+    data = cbor.decode_map(body)
+    changes = []
+    for row in cbor.maps(data, "events"):
+        present = row.get("set") is not None
+        key = cbor.text(row, "set" if present else "drop")
+        changes.append(Change(key, present, row.get("v"), cbor.count(row, "stamp")))
+    return changes, cbor.count(data, "ledger")
