--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -256,7 +256,7 @@
 
     def _preempt(self, queue: list[Job], now: float) -> None:
         for job in queue:
-            if job.spec.priority < Priority.HIGH and not self.placer.entitled(job):
+            if job.spec.priority < Priority.HIGH and job.spec.id not in self.placer.guaranteed:
                 continue
             if now - job.order < self.settings.report_s:
                 continue
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -61,6 +61,7 @@
         self.usable: list[Machine] = []
         self.strays: set[tuple[str, int]] = set()
         self.stray_use: dict[str, Amount] = {}
+        self.guaranteed: set[str] = set()
 
     # -- order ---------------------------------------------------------------------------
 
@@ -72,14 +73,27 @@
                 total = total + job.spec.need.times(job.spec.tasks - job.done_count)
         return total
 
-    def entitled(self, job: Job) -> bool:
-        """Whether the job's next task would stay within its team's guarantee."""
-        team = self.teams.get(job.spec.team)
-        if team is None:
-            return False
-        count = job.spec.tasks if job.spec.kind is Kind.GANG else 1
-        used = self.book.usage.get(team.name, NOTHING)
-        return team.within_guarantee(used + job.spec.need.times(count))
+    def find_guaranteed(self) -> None:
+        """Which jobs fit into their team's guarantee along with all its earlier unfinished jobs."""
+        self.guaranteed = set()
+        asked: dict[str, Amount] = {}
+        for job in sorted(self.book.jobs.values(), key=lambda job: (job.submitted, job.spec.id)):
+            team = self.teams.get(job.spec.team)
+            if team is None or job.cancelled:
+                continue
+            total = asked.get(team.name, NOTHING) + job.spec.need.times(job.spec.tasks - job.done_count)
+            asked[team.name] = total
+            if team.within_guarantee(total):
+                self.guaranteed.add(job.spec.id)
+
+    def rank(self, job: Job) -> tuple[bool, bool, int]:
+        """A job's standing, higher is more: production, then what is guaranteed, then priority.
+
+        Only a job of strictly higher standing displaces another. Judging guarantees by what runs at
+        the moment instead let teams take the same machines from each other again and again.
+        """
+        spec = job.spec
+        return spec.priority is Priority.PRODUCTION, spec.id in self.guaranteed, int(spec.priority)
 
     def queue(self, now: float) -> list[Job]:
         """Jobs with tasks that may be placed now, most urgent first."""
@@ -93,17 +107,18 @@
             and not (job.spec.kind is Kind.GANG and job.live_count > 0)
         ]
 
-        def rank(job: Job) -> tuple[bool, bool, int, float]:
-            production = job.spec.priority is Priority.PRODUCTION
-            return (not production, not self.entitled(job), -int(job.spec.priority), job.order)
+        def order(job: Job) -> tuple[bool, bool, int, float]:
+            production, guaranteed, priority = self.rank(job)
+            return not production, not guaranteed, -priority, job.order
 
-        return sorted(ready, key=rank)
+        return sorted(ready, key=order)
 
     # -- one pass --------------------------------------------------------------------------
 
     def run(self, now: float) -> list[Live]:
         """Start what fits; returns the new attempts."""
         self.rooms = Rooms()
+        self.find_guaranteed()
         self.usable = [m for m in self.fleet.machines.values() if self.fleet.usable(m, now)]
         self.holds = {name: hold for name, hold in self.holds.items() if hold.until > now}
         self.strays = set()
@@ -241,17 +256,15 @@
 
     # -- preemption ------------------------------------------------------------------------
 
-    def may_stop(self, victim: Live, job: Job, entitled: bool) -> bool:
+    def may_stop(self, victim: Live, job: Job) -> bool:
         """PROTOCOL's reasons: higher priority, or work beyond another team's guarantee."""
         other = victim.job
-        if other is job or other.cancelled:
+        if other is job or other.cancelled or self.rank(job) <= self.rank(other):
             return False
         if other.spec.priority < job.spec.priority:
             return True
-        if not entitled or other.spec.team == job.spec.team:
-            return False
-        team = self.teams.get(other.spec.team)
-        return team is not None and not team.within_guarantee(self.book.usage.get(team.name, NOTHING))
+        beyond = job.spec.id in self.guaranteed and other.spec.id not in self.guaranteed
+        return beyond and other.spec.team != job.spec.team
 
     def loss(self, victim: Live, now: float) -> float:
         """Seconds of work lost when this task is stopped, over its whole gang."""
@@ -267,7 +280,6 @@
         spec = job.spec
         if any(hold.job == spec.id for hold in self.holds.values()):
             return []  # earlier victims are still on their way out
-        entitled = self.entitled(job)
         wanted = spec.tasks if spec.kind is Kind.GANG else len(job.next_waiting(ARRAY_BATCH))
         while wanted > 0 and not self.allowed_now(job, wanted):
             wanted = 0 if spec.kind is Kind.GANG else wanted - 1
@@ -279,7 +291,7 @@
         if spec.one_zone:
             zones = [self.fixed_zone(job, counts)] if counts else self.gang_zones(job)
         for zone in zones:
-            plan = self.cheapest(job, zone, dict(counts), wanted, entitled, now)
+            plan = self.cheapest(job, zone, dict(counts), wanted, now)
             whole = spec.kind is not Kind.GANG or len(plan[1]) == wanted
             if plan[1] and whole and (best is None or plan[0] < best[0]):
                 best = plan
@@ -294,7 +306,7 @@
         return list(victims.values())
 
     def cheapest(
-        self, job: Job, zone: str | None, counts: dict[str, int], wanted: int, entitled: bool, now: float
+        self, job: Job, zone: str | None, counts: dict[str, int], wanted: int, now: float
     ) -> tuple[float, list[tuple[Machine, list[Live]]]]:
         """Machines with the victims on each, for as many of ``wanted`` tasks as can be had."""
         spec = job.spec
@@ -304,7 +316,7 @@
                 continue
             if (zone is not None and machine.zone != zone) or machine.name in job.avoid:
                 continue
-            found = self.victims(job, machine, entitled, now)
+            found = self.victims(job, machine, now)
             if found is not None:
                 options.append((found[0] + machine.fetch_wait(spec), machine.name, machine, found[1]))
         options.sort(key=lambda option: option[:2])
@@ -321,7 +333,7 @@
             chosen.append((machine, stopped))
         return total, chosen
 
-    def victims(self, job: Job, machine: Machine, entitled: bool, now: float) -> tuple[float, list[Live]] | None:
+    def victims(self, job: Job, machine: Machine, now: float) -> tuple[float, list[Live]] | None:
         """The cheapest attempts on a machine whose end lets one task of the job fit."""
         need = job.spec.need
         room = self.rooms.of(machine)
@@ -332,8 +344,8 @@
             if live.stop is not None:  # on its way out already
                 room = room + live.job.spec.need
         choice = sorted(
-            (live for live in lives if live.stop is None and self.may_stop(live, job, entitled)),
-            key=lambda live: (live.job.spec.priority, self.loss(live, now), live.key),
+            (live for live in lives if live.stop is None and self.may_stop(live, job)),
+            key=lambda live: (self.rank(live.job), self.loss(live, now), live.key),
         )
         total = 0.0
         stopped: list[Live] = []
