--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -5,9 +5,10 @@
 import asyncio
 import gc
 import random
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Sequence
 
 from passrock import __version__
+from passrock.controller import keys
 from passrock.controller.leadership import Leadership
 from passrock.controller.replica import Replica
 from passrock.controller.term import Term
@@ -19,7 +20,7 @@
 from passrock.io.cloud import CloudClient, CloudError
 from passrock.io.http_client import HttpClient
 from passrock.io.http_server import HttpServer, Request, Response
-from passrock.io.peers import Peers
+from passrock.io.peers import Link, PeerLink, Peers
 from passrock.io.state import StateClient, StateError
 from passrock.logs import debug, info, start_logging
 from passrock.settings import Settings
@@ -34,7 +35,14 @@
 class Node:
     """One controller."""
 
-    def __init__(self, settings: Settings, state: StateClient, cloud: CloudClient, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        state: StateClient,
+        cloud: CloudClient,
+        links: Sequence[Link],
+        rng: random.Random,
+    ) -> None:
         self.settings = settings
         self.state = state
         self.cloud = cloud
@@ -43,7 +51,7 @@
         self.replica = Replica(state)
         self.leadership = Leadership(settings, state, self.replica, rng)
         self.leadership.changed.append(self._role_changed)
-        self.peers = Peers(settings.peers, self.leadership.view, self.leadership.heard)
+        self.peers = Peers(links, self.leadership.view, self.leadership.heard)
         self.leadership.peers = self.peers
         limiter = Limiter(start=32, least=4, most=max(8, settings.fd_limit // 2), slack=settings.report_s / 10)
         self.users = Users(settings, state, self.replica, self.market, limiter, rng)
@@ -128,13 +136,17 @@
         gc.freeze()
         gc.set_threshold(20_000, 20, 50)
         async with listening, peer_listening:
-            await asyncio.gather(
-                self.replica.run(),
-                self.leadership.run(),
-                self.peers.run(settings.report_s / 3),
-                self._learn_types(),
-                self._beat(),
-            )
+            await self.work()
+
+    async def work(self) -> None:
+        """Everything but listening."""
+        await asyncio.gather(
+            self.replica.run(),
+            self.leadership.run(),
+            self.peers.run(self.settings.report_s / 3),
+            self._learn_types(),
+            self._beat(),
+        )
 
     async def _learn_types(self) -> None:
         """Machine types are needed before anything can be decided."""
@@ -152,7 +164,7 @@
             await asyncio.sleep(every)
             if steady() - self.state.last_good > every:
                 try:
-                    await self.state.get("p/none", timeout=every)
+                    await self.state.get(keys.NOWHERE, timeout=every)
                 except StateError:
                     continue
 
@@ -166,7 +178,7 @@
         Budget(settings.state_write_rps, settings.state_write_rps),
     )
     cloud = CloudClient(HttpClient(settings.cloud, 4), Budget(settings.cloud_rps * 0.8, settings.cloud_rps))
-    return Node(settings, state, cloud, rng)
+    return Node(settings, state, cloud, [PeerLink(peer) for peer in settings.peers], rng)
 
 
 def serve(settings: Settings) -> None:
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -10,7 +10,7 @@
 from passrock.controller import keys
 from passrock.controller.replica import ReadFence, Replica
 from passrock.core.admission import Limiter, fault
-from passrock.core.jobs import CANCELLED, DONE, new_record
+from passrock.core.jobs import CANCELLED, DONE, fits_record, new_record
 from passrock.core.model import Spec
 from passrock.core.renting import Market
 from passrock.io.clock import steady, time_of_day
@@ -220,6 +220,8 @@
             spec = wire.parse_submission(request.body)
         except BadBody as problem:
             return Response(400, wire.error_answer(str(problem)))
+        if not fits_record(spec):
+            return Response(400, wire.error_answer("the names in it are too long"))
         types = self.market.types
         if not types or not self.replica.loaded:
             return self._refuse(503)
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -6,17 +6,20 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from passrock.core.fleet import Fleet, Machine, TaskState
 from passrock.core.model import NOTHING, Amount, Kind, Priority, Spec
 
 LIVE_BYTES = 44  # a recorded attempt at its longest, as JSON
+DESCRIPTION_BYTES = 1200  # kept free in a job's own record for its description
 DONE = "done"
 CANCELLED = "cancelled"
 
 
 def chunk_tasks(value_bytes: int) -> int:
     """How many tasks one record holds, with room left for the job's own description."""
-    return max(8, int((value_bytes - 1200) / LIVE_BYTES))
+    return max(8, int((value_bytes - DESCRIPTION_BYTES) / LIVE_BYTES))
 
 
 def encode_spec(spec: Spec) -> dict[str, Any]:
@@ -63,6 +66,11 @@
     )
 
 
+def fits_record(spec: Spec) -> bool:
+    """Whether the description is short enough for its record."""
+    return len(msgspec.json.encode(encode_spec(spec))) <= DESCRIPTION_BYTES - 100
+
+
 def new_record(spec: Spec, submitted: float) -> dict[str, Any]:
     """The first record of an accepted job."""
     return {"s": encode_spec(spec), "at": submitted, **Chunk(0, spec.tasks).encode()}
--- a/src/passrock/io/peers.py
+++ b/src/passrock/io/peers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from typing import Protocol
 
 import msgspec
 
@@ -115,11 +116,21 @@
             self.answer = hello
 
 
+class Link(Protocol):
+    """A way to ask one peer."""
+
+    answer: Hello | None
+    asked_at: float
+
+    async def ask(self, hello: Hello, timeout: float) -> None:
+        """Send our view."""
+
+
 class Peers:
     """All other controllers."""
 
-    def __init__(self, peers: tuple[Peer, ...], own_view: Callable[[], Hello], seen: Callable[[Hello], None]) -> None:
-        self.links = [PeerLink(peer) for peer in peers]
+    def __init__(self, links: Sequence[Link], own_view: Callable[[], Hello], seen: Callable[[Hello], None]) -> None:
+        self.links = links
         self.own_view = own_view
         self.seen = seen
 
@@ -129,8 +140,12 @@
         return await loop.create_server(lambda: PeerConnection(self._asked), address.host, address.port)
 
     def _asked(self, connection: PeerConnection, hello: Hello) -> None:
+        connection.send(self.reply(hello))
+
+    def reply(self, hello: Hello) -> Hello:
+        """Take in a peer's view and give ours."""
         self.seen(hello)
-        connection.send(self.own_view())
+        return self.own_view()
 
     async def run(self, every: float) -> None:
         """Ask every peer again and again."""
--- a/src/passrock/wire/cbor.py
+++ b/src/passrock/wire/cbor.py
@@ -6,6 +6,8 @@
 
 import cbor2
 
+TEXT_LIMIT = 200  # characters; longer names fit no record and no log line
+
 
 class BadBody(Exception):
     """A body that is not what the interface says."""
@@ -30,8 +32,8 @@
 def text(body: dict[str, Any], key: str) -> str:
     """A required text."""
     value = body.get(key)
-    if not isinstance(value, str) or not value:
-        raise BadBody(f"{key}: a text is required")
+    if not isinstance(value, str) or not 0 < len(value) <= TEXT_LIMIT:
+        raise BadBody(f"{key}: a text of 1 to {TEXT_LIMIT} characters is required")
     return value
 
 
@@ -43,7 +45,7 @@
 def texts(body: dict[str, Any], key: str) -> tuple[str, ...]:
     """A required list of texts."""
     value = body.get(key)
-    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+    if not isinstance(value, list) or not all(isinstance(item, str) and len(item) <= TEXT_LIMIT for item in value):
         raise BadBody(f"{key}: a list of texts is required")
     return tuple(value)
 
--- /dev/null
+++ b/tests/standins/checker.py
@@ -0,0 +1,102 @@
+"""Checks the users' rules against what really happens in the simulated world."""
+
+
+class Checker:
+    """Collects broken rules as (time, rule, detail)."""
+
+    def __init__(self, world):
+        self.world = world
+        self.broken = []
+        self.present = {}  # (job, index) -> set of (machine, attempt)
+        self.starts = 0
+        self.told_cancelled = {}
+        self.told = {}
+        self.accepted = set()
+        self.cancel_asked = set()
+
+    def break_rule(self, rule, detail):
+        self.broken.append((round(self.world.now(), 3), rule, detail))
+
+    # -- tasks ------------------------------------------------------------------------------------
+
+    def started(self, worker, task):
+        """A task has its image on a machine."""
+        self.starts += 1
+        key = (task.job, task.index)
+        if self.present.get(key):
+            self.break_rule("ran_twice", f"{key} on {worker.name} while on {self.present[key]}")
+        self._check_place(worker, task)
+        self.present.setdefault(key, set()).add((worker.name, task.attempt))
+        self._check_quota(self.world.specs[task.job]["desk"])
+        told = self.told_cancelled.get(task.job)
+        if told is not None and self.world.now() - told > self.world.limits["cancel_s"]:
+            self.break_rule("ran_cancelled", f"{key} started")
+
+    def ended(self, worker, task):
+        self.present.get((task.job, task.index), set()).discard((worker.name, task.attempt))
+
+    def _check_place(self, worker, task):
+        spec = self.world.specs[task.job]
+        zones = [
+            self.world.zone_of[name]
+            for (job, index), places in self.present.items()
+            if job == task.job and index != task.index
+            for name, _ in places
+        ]
+        cap = (spec["volumes"] + 1) // 2
+        wrong = (
+            (spec["bindings"] is not None and worker.type not in spec["bindings"])
+            or (spec["branch"] is not None and worker.zone != spec["branch"])
+            or (worker.spot and not spec["loaners"])
+            or (spec["samePlace"] and any(zone != worker.zone for zone in zones))
+            or (spec["spread"] and zones.count(worker.zone) + 1 > cap)
+        )
+        if wrong:
+            self.break_rule("wrong_place", f"{task.job}/{task.index} on {worker.name} in {worker.zone}")
+
+    def _check_quota(self, team):
+        used = sum(
+            self.world.specs[job]["cards"] * len(places)
+            for (job, _), places in self.present.items()
+            if self.world.specs[job]["desk"] == team
+        )
+        if used > self.world.limits["gpus_max"] + 1e-6:
+            self.break_rule("quota", f"{team} uses {used}")
+
+    def step(self):
+        """What has to hold at any moment."""
+        now = self.world.now()
+        for (job, index), places in self.present.items():
+            told = self.told_cancelled.get(job)
+            if places and told is not None and now - told > self.world.limits["cancel_s"]:
+                self.break_rule("ran_cancelled", f"{job}/{index} still on {places}")
+                self.told_cancelled[job] = now
+
+    # -- answers -------------------------------------------------------------------------------------
+
+    def answered(self, job, asked_at, status, body, submission=False):
+        """A user got an answer to a question asked at ``asked_at``."""
+        if status in (400, 422) and job in self.accepted:
+            self.break_rule("forgotten", f"{job} refused with {status}")
+        if status == 404 and any(at <= asked_at for at in [self.told.get(job, (1e18, ""))[0]]):
+            self.break_rule("forgotten", f"{job} unknown")
+        if status not in (200, 201):
+            return
+        if job not in self.world.specs:
+            self.break_rule("invented", job)
+            return
+        state = body["status"]
+        if state == "done":
+            spec = self.world.specs[job]
+            if any((job, index) not in self.world.completed for index in range(spec["volumes"])):
+                self.break_rule("not_done", job)
+        if state == "cancelled" and job not in self.cancel_asked:
+            self.break_rule("went_back", f"{job} cancelled by nobody")
+        before_at, before = self.told.get(job, (1e18, ""))
+        if before in ("done", "cancelled") and state != before and before_at <= asked_at:
+            self.break_rule("went_back", f"{job} was {before}, is {state}")
+        if state == "cancelled":
+            self.told_cancelled.setdefault(job, self.world.now())
+        if before not in ("done", "cancelled"):
+            self.told[job] = (self.world.now(), state)
+        self.accepted.add(job)
--- /dev/null
+++ b/tests/standins/world.py
@@ -0,0 +1,450 @@
+"""A simulated deployment: real controllers, stand-in services, workers and users, faults and a checker."""
+
+import asyncio
+import math
+import random
+
+import cbor2
+
+from passrock.controller.node import Node
+from passrock.core.budget import Budget
+from passrock.io.cloud import CloudClient
+from passrock.io.http_client import NoAnswer
+from passrock.io.http_server import Request, Response
+from passrock.io.state import StateClient
+from passrock.settings import Operator, parse_settings
+from standins.checker import Checker
+from standins.cloud_service import CloudService
+from standins.state_service import StateService
+from standins.worker import Worker
+
+LIMITS = {
+    "report_s": 1.0,
+    "lease_s": 10.0,
+    "gang_wait_s": 30.0,
+    "gang_peer_s": 6.0,
+    "cancel_s": 35.0,
+    "gpus_max": 8.0,
+}
+BOX = {
+    "sku": "box",
+    "cores": 16.0,
+    "cards": 2.0,
+    "ramGb": 64.0,
+    "localGb": 100.0,
+    "fetchGbPerS": 1.0,
+    "price": 5.0,
+    "spotPrice": 1.5,
+    "bootS": 10.0,
+}
+TEAMS = 3
+
+
+def node_table(number, count, zones):
+    """A controller's settings as the platform would write them."""
+    return {
+        "node": f"n{number}",
+        "area": zones[number % len(zones)],
+        "client_listen": f"10.0.0.{number + 1}:8080",
+        "peer_listen": f"10.0.0.{number + 1}:8081",
+        "peers": [
+            {"node": f"n{i}", "area": zones[i % len(zones)], "endpoint": f"10.0.0.{i + 1}:8081"}
+            for i in range(count)
+            if i != number
+        ],
+        "outside": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "deployment": {
+            "zones": list(zones),
+            "time_bound_ms": 5.0,
+            "teams": [
+                {"name": f"t{i}", "cpus": 0.0, "cpus_max": 0.0, "gpus": 4.0, "gpus_max": LIMITS["gpus_max"]}
+                for i in range(TEAMS)
+            ],
+            "workers": {k: v for k, v in LIMITS.items() if k != "gpus_max"},
+            "state": {"rps": 100.0, "write_rps": 40.0, "value_kb": 4.0, "txn_ops": 12},
+            "cloud": {"rps": 6.0, "list_lag_s": 3.0},
+            "resources": {"cpu": 0.4, "mem_mb": 150.0, "fd_limit": 600},
+        },
+    }
+
+
+class ServiceLink:
+    """A node's connection to a stand-in service, with delays, outages, lost answers and late requests."""
+
+    def __init__(self, world, node, service, state):
+        self.world, self.node, self.service, self.is_state = world, node, service, state
+
+    async def request(self, method, path, body=b"", timeout=2.0):
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._carry(method, path, body)
+        except TimeoutError as error:
+            raise NoAnswer("no response") from error
+
+    async def _carry(self, method, path, body):
+        world, rng = self.world, self.world.rng
+        if not self.node.alive:
+            await asyncio.Event().wait()
+        await asyncio.sleep(rng.uniform(0.001, 0.006))
+        watch = path.startswith("/changes")
+        while self.is_state and watch and self.node.refused:
+            await asyncio.sleep(0.2)
+        if self.is_state and self.node.refused:
+            return 503, b""
+        changing = method != "GET"
+        if changing and rng.random() < world.late_share:
+            asyncio.get_running_loop().call_later(rng.uniform(1.0, 20.0), self._late, method, path, body)
+            await asyncio.Event().wait()
+        status, answer = await self.service.handle(method, path, body)
+        if changing and rng.random() < world.lost_share:
+            await asyncio.Event().wait()
+        await asyncio.sleep(rng.uniform(0.001, 0.004))
+        if not self.node.alive:
+            await asyncio.Event().wait()
+        return status, answer
+
+    def _late(self, method, path, body):
+        self.world.spawn(self.service.handle(method, path, body))
+
+
+class SimLink:
+    """A node's way to ask one peer."""
+
+    def __init__(self, world, node, peer):
+        self.world, self.node, self.peer = world, node, peer
+        self.answer = None
+        self.asked_at = -1e9
+
+    async def ask(self, hello, timeout):
+        other = self.world.nodes.get(self.peer)
+        if other is None or not self.node.alive or self.world.peers_cut(self.node.name, self.peer):
+            return
+        sent = self.world.now()
+        await asyncio.sleep(self.world.rng.uniform(0.001, 0.01))
+        if other.alive and other is self.world.nodes.get(self.peer):
+            self.answer = other.node.peers.reply(hello)
+            self.asked_at = sent
+
+
+class SimNode:
+    """One incarnation of a controller process."""
+
+    def __init__(self, world, number):
+        self.world, self.number, self.name = world, number, f"n{number}"
+        self.alive, self.refused = True, False
+        faults = []
+        table = node_table(number, world.node_count, world.zones)
+        settings = parse_settings(table, Operator(), faults)
+        assert not faults, faults
+        self.zone = settings.zone
+        rng = random.Random(world.rng.random())
+        state = StateClient(
+            ServiceLink(world, self, world.state, True),
+            ServiceLink(world, self, world.state, True),
+            Budget(100.0, 100.0),
+            Budget(40.0, 40.0),
+        )
+        cloud = CloudClient(ServiceLink(world, self, world.cloud, False), Budget(5.0, 6.0))
+        links = [SimLink(world, self, peer.node) for peer in settings.peers]
+        self.node = Node(settings, state, cloud, links, rng)
+        self.work = asyncio.ensure_future(self.node.work())
+
+    def kill(self):
+        """The process ends without a signal; what it left running can't reach anything any more."""
+        self.alive = False
+        self.work.cancel()
+        if self.node.term is not None:
+            self.node.term.stop()
+
+
+class World:
+    """Everything, driven by one seeded random source."""
+
+    def __init__(self, seed, zones=("a", "b", "c"), node_count=3, machines=6, late=0.0, lost=0.0):
+        self.rng = random.Random(seed)
+        self.zones = zones
+        self.node_count = node_count
+        self.limits = dict(LIMITS)
+        self.late_share, self.lost_share = late, lost
+        self.specs, self.run_times, self.progress = {}, {}, {}
+        self.completed = set()
+        self.workers, self.zone_of = {}, {}
+        self.cuts = []  # (kind, name, until)
+        self.checker = Checker(self)
+        self.state = StateService()
+        types = {"box": dict(BOX, branches=list(zones))}
+        capacity = {("box", zone, spot): 3 if spot else 6 for zone in zones for spot in (True, False)}
+        self.cloud = CloudService(types, capacity, self.rng, 3.0, self._machine_up, self._machine_gone)
+        self.tasks = set()
+        self.nodes = {}
+        self.done_users = 0
+        self.poll_failures = 0
+        for i in range(machines):
+            self.cloud.add("box", zones[i % len(zones)], False, boot=0.1)
+        for number in range(node_count):
+            self.nodes[f"n{number}"] = SimNode(self, number)
+        self.spawn(self.state.tick())
+        self.spawn(self._check())
+
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    def spawn(self, work):
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def _check(self):
+        while True:
+            await asyncio.sleep(0.25)
+            self.checker.step()
+
+    # -- machines ----------------------------------------------------------------------------------
+
+    def _machine_up(self, row):
+        self.zone_of[row["ref"]] = row["branch"]
+        self.workers[row["ref"]] = Worker(self, row, self.limits)
+
+    def _machine_gone(self, name):
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            worker.die()
+
+    # -- gangs ---------------------------------------------------------------------------------------
+
+    def _mates(self, task):
+        return [
+            (worker, other)
+            for worker in self.workers.values()
+            for other in worker.tasks.values()
+            if other.job == task.job and other.attempt == task.attempt and other.state != "exited"
+        ]
+
+    def gang_gathers(self, task):
+        mates = self._mates(task)
+        if {t.index for _, t in mates if t.state == "gathering"} == set(range(self.specs[task.job]["volumes"])):
+            for worker, mate in mates:
+                worker.begin(mate)
+
+    def gang_whole(self, task):
+        running = {t.index for w, t in self._mates(task) if t.state == "running" and w.hung_until <= self.now()}
+        return running == set(range(self.specs[task.job]["volumes"]))
+
+    def gang_done(self, task):
+        for worker, mate in self._mates(task):
+            worker.mate_done(mate)
+
+    def gang_lost(self, task):
+        for worker, mate in self._mates(task):
+            if mate.state == "running":
+                worker.mate_gone(mate)
+
+    def remaining(self, task):
+        """Run time left; kept results complete at once."""
+        if (task.job, task.index) in self.completed:
+            return 0.0
+        return self.run_times[task.job]
+
+    # -- network -------------------------------------------------------------------------------------
+
+    def peers_cut(self, one, other):
+        return any(kind == "peers" and until > self.now() and name in (one, other) for kind, name, until in self.cuts)
+
+    def cut_until(self, worker):
+        ends = [until for kind, name, until in self.cuts if kind == "machine" and name == worker.name]
+        return max(ends, default=0.0)
+
+    async def to_node(self, worker, name, body, timeout):
+        """A worker's report and its answer."""
+        async with asyncio.timeout(timeout):
+            await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+            until = self.cut_until(worker)
+            if until > self.now():  # held back, and delivered after the worker has given it up
+                asyncio.get_running_loop().call_at(until + self.rng.uniform(0, 1), self._late_report, name, body)
+                await asyncio.Event().wait()
+            response = await self._ask(name, Request("POST", "/checkin", body))
+            await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+            if self.cut_until(worker) > self.now():
+                await asyncio.Event().wait()
+            return response.status, cbor2.loads(response.body) if response.body else {}
+
+    def _late_report(self, name, body):
+        if name in self.nodes:
+            self.nodes[name].node.handle(Request("POST", "/checkin", body))
+
+    async def _ask(self, name, request):
+        sim = self.nodes.get(name)
+        if sim is None or not sim.alive:
+            raise ConnectionError("no process")
+        result = sim.node.handle(request)
+        response = result if isinstance(result, Response) else await result
+        if not sim.alive:
+            raise ConnectionError("process ended")
+        return response
+
+    # -- users -----------------------------------------------------------------------------------------
+
+    async def ask(self, method, path, body=b"", timeout=2.0, node=None):
+        """A user's request through the load balancer; status 0 when nothing came back."""
+        up = [name for name, sim in self.nodes.items() if sim.alive]
+        if not up:
+            return 0, {}
+        try:
+            async with asyncio.timeout(timeout):
+                response = await self._ask(node or self.rng.choice(up), Request(method, path, body))
+        except (TimeoutError, ConnectionError):
+            return 0, {}
+        return response.status, cbor2.loads(response.body) if response.body else {}
+
+    def job(self, number, **fields):
+        """A job description."""
+        spec = {
+            "ref": f"wk-{number:06d}",
+            "shelfmark": "x",
+            "desk": f"t{number % TEAMS}",
+            "format": "batch",
+            "precedence": "standard",
+            "volumes": 1,
+            "cores": 5.0,
+            "cards": 1.0,
+            "ramGb": 20.0,
+            "edition": f"img-{number % 4}",
+            "imageGb": 2.0,
+            "bindings": None,
+            "branch": None,
+            "samePlace": False,
+            "spread": False,
+            "loaners": False,
+            "loanS": 10.0,
+            "bookmarkS": 0.0,
+            "shelveS": 0.0,
+            "dueS": None,
+        }
+        return {**spec, **fields}
+
+    def random_job(self, number):
+        """A job of any kind."""
+        rng = self.rng
+        kind = rng.choice(["batch", "batch", "group", "group", "service"])
+        fields = {"format": kind, "loaners": kind != "service" and rng.random() < 0.6}
+        if kind == "batch":
+            fields.update(volumes=rng.randint(1, 5), bookmarkS=5.0, shelveS=2.0)
+        elif kind == "group":
+            fields.update(volumes=rng.choice([1, 2, 3]), samePlace=rng.random() < 0.7, precedence="high")
+            fields.update(bookmarkS=5.0, shelveS=2.0, cards=rng.choice([1.0, 2.0]))
+        else:
+            fields.update(volumes=rng.choice([1, 3]), spread=True, precedence="prod", loanS=0.0)
+        return self.job(number, **fields)
+
+    async def user(self, spec, run_s=8.0, cancel_after=None):
+        """Submit a job and ask for it until it is over."""
+        job = spec["ref"]
+        self.specs[job], self.run_times[job] = spec, run_s
+        body = cbor2.dumps(spec)
+        while True:
+            at = self.now()
+            status, answer = await self.ask("POST", "/v2/runs", body, 5.0)
+            if status:
+                self.checker.answered(job, at, status, answer, submission=True)
+            if status in (200, 201):
+                break
+            assert status not in (400, 422), (status, answer)
+            await asyncio.sleep(1.0)
+        began = self.now()
+        while True:
+            await asyncio.sleep(self.rng.uniform(1.0, 3.0))
+            at = self.now()
+            if cancel_after is not None and at - began > cancel_after:
+                self.checker.cancel_asked.add(job)
+                status, answer = await self.ask("POST", f"/v2/runs/{job}/withdraw", b"", 2.0)
+            else:
+                status, answer = await self.ask("GET", f"/v2/runs/{job}", b"", 2.0)
+            if status:
+                self.checker.answered(job, at, status, answer)
+            if status in (200, 201) and answer["status"] in ("done", "cancelled"):
+                break
+        self.done_users += 1
+        for _ in range(5):  # and now and then later
+            await asyncio.sleep(self.rng.uniform(5.0, 15.0))
+            at = self.now()
+            status, answer = await self.ask("GET", f"/v2/runs/{job}")
+            if status:
+                self.checker.answered(job, at, status, answer)
+
+    # -- faults ------------------------------------------------------------------------------------------
+
+    async def crash(self, names, back_after):
+        """End controllers and start them again."""
+        for name in names:
+            self.nodes[name].kill()
+        await asyncio.sleep(back_after)
+        for name in names:
+            self.nodes[name] = SimNode(self, int(name[1:]))
+
+    async def outage(self, for_s):
+        self.state.start_outage()
+        await asyncio.sleep(for_s)
+        self.state.end_outage()
+
+    async def refuse(self, name, for_s):
+        """The state service refuses one controller."""
+        sim = self.nodes[name]
+        sim.refused = True
+        await asyncio.sleep(for_s)
+        sim.refused = False
+
+    def some_worker(self):
+        return self.rng.choice(sorted(self.workers.values(), key=lambda w: w.name)) if self.workers else None
+
+    def one_fault(self):
+        """Something goes wrong."""
+        rng = self.rng
+        kind = rng.choice(
+            ["crash", "crash_all", "outage", "refuse", "cut", "hang", "take", "notice", "sick", "peers"]
+        )
+        worker = self.some_worker()
+        names = list(self.nodes)
+        alive = [name for name in names if self.nodes[name].alive]
+        if kind == "crash" and alive:
+            self.spawn(self.crash([rng.choice(alive)], rng.choice([0.2, 4.0])))
+        elif kind == "crash_all" and len(alive) == len(names):
+            self.spawn(self.crash(names, rng.uniform(0.2, 5.0)))
+        elif kind == "outage" and not self.state.outage:
+            self.spawn(self.outage(rng.uniform(2.0, 20.0)))
+        elif kind == "refuse" and alive:
+            self.spawn(self.refuse(rng.choice(alive), rng.uniform(3.0, 25.0)))
+        elif kind == "peers":
+            self.cuts.append(("peers", rng.choice(names), self.now() + rng.uniform(2.0, 20.0)))
+        elif worker is not None and kind == "cut":
+            self.cuts.append(("machine", worker.name, self.now() + rng.uniform(2.0, 30.0)))
+        elif worker is not None and kind == "hang":
+            worker.hung_until = self.now() + rng.uniform(2.0, 30.0)
+        elif worker is not None and kind == "take":
+            self.cloud.take(worker.name)
+        elif worker is not None and kind == "notice":
+            worker.notice_end = self.now() + rng.uniform(4.0, 12.0)
+            worker.changed.set()
+            asyncio.get_running_loop().call_at(worker.notice_end, self.cloud.take, worker.name)
+        elif worker is not None and kind == "sick":
+            worker.sick = True
+
+    async def faults(self, until, gap):
+        """Faults of all kinds until some time."""
+        while self.now() < until:
+            await asyncio.sleep(self.rng.expovariate(1.0 / gap))
+            self.one_fault()
+
+    async def day(self, duration, jobs, gap=math.inf):
+        """Jobs over the first half, faults over most of it; returns what the checker found."""
+        for number in range(jobs):
+            spec = self.random_job(number)
+            cancel = 15.0 if spec["format"] == "service" or self.rng.random() < 0.1 else None
+            at = self.rng.uniform(0.0, duration / 2)
+            asyncio.get_running_loop().call_later(
+                at, lambda s=spec, c=cancel: self.spawn(self.user(s, self.rng.uniform(2.0, 15.0), c))
+            )
+        if gap < math.inf:
+            self.spawn(self.faults(duration * 0.7, gap))
+        await asyncio.sleep(duration)
+        return self.checker
--- /dev/null
+++ b/tests/test_codecs.py
@@ -0,0 +1,155 @@
+"""What users, workers, cloud and state may send, and what becomes of it."""
+
+import cbor2
+import pytest
+
+from passrock.core.fleet import Command, Op, TaskState
+from passrock.core.jobs import Book, decode_spec, encode_spec, new_record
+from passrock.wire import cloud, state, users, workers
+from passrock.wire.cbor import BadBody
+from standins.world import World
+
+GOOD = World.job(None, 412, dueS=900.0)  # the stand-in user's description of a job
+
+
+def body(**changes):
+    """A good submission with some fields changed; ``...`` takes a field away."""
+    return cbor2.dumps({k: v for k, v in {**GOOD, **changes}.items() if v is not ...})
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"\xff\xff",
+        cbor2.dumps([1]),
+        cbor2.dumps({1: 2}),
+        body(ref=...),
+        body(ref="job-1"),
+        body(ref="wk-"),
+        body(ref="wk-1/2"),
+        body(ref=5),
+        body(volumes=0),
+        body(volumes=100_001),
+        body(volumes=2.5),
+        body(volumes=True),
+        body(cores="8"),
+        body(cores=-1.0),
+        body(cores=float("nan")),
+        body(cards=float("inf")),
+        body(format="gang"),
+        body(format=["batch"]),
+        body(precedence="urgent"),
+        body(samePlace="yes"),
+        body(spread=None),
+        body(loaners=...),
+        body(bindings="box"),
+        body(bindings=[1]),
+        body(edition=""),
+        body(edition="x" * 500),
+        body(dueS="soon"),
+        body(loanS=...),
+    ],
+)
+def test_malformed_submissions(raw):
+    with pytest.raises(BadBody):
+        users.parse_submission(raw)
+
+
+def test_submission_and_record_round_trip():
+    spec = users.parse_submission(body(unknownField=1, branch=..., bindings=["box"]))
+    assert (spec.id, spec.zone, spec.types, spec.deadline) == ("wk-000412", None, ("box",), 900.0)
+    assert decode_spec(encode_spec(spec)) == spec
+    assert users.parse_submission(cbor2.dumps(users.describe(spec))) == spec
+    job = Book(50).load(new_record(spec, 12.5), 7, 0.0)
+    assert (job.spec, job.submitted, job.chunk(0).stamp, job.waiting) == (spec, 12.5, 7, 1)
+
+
+REPORT = {
+    "stack": "host-1",
+    "addr": "10.1.0.1:9000",
+    "binding": "box",
+    "branch": "a",
+    "loaners": True,
+    "shift": 2,
+    "accession": 88,
+    "warrant": 41,
+    "recallS": None,
+    "volumes": [{"volume": "wk-1/3", "renewal": 2, "status": "exited", "remark": "stopped", "kept": True}],
+}
+
+
+def test_report():
+    report = workers.parse_report(cbor2.dumps(REPORT))
+    assert (report.machine, report.session, report.seq, report.token, report.notice) == ("host-1", 2, 88, 41, None)
+    row = report.tasks[0]
+    assert (row.job, row.index, row.attempt, row.state, row.why, row.saved) == (
+        "wk-1",
+        3,
+        2,
+        TaskState.EXITED,
+        "stopped",
+        True,
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"shift": -1},
+        {"accession": "1"},
+        {"warrant": None},
+        {"volumes": None},
+        {"volumes": [{"volume": "wk-1", "renewal": 1, "status": "running"}]},
+        {"volumes": [{"volume": "wk-1/x", "renewal": 1, "status": "running"}]},
+        {"volumes": [{"volume": "wk-1/1", "renewal": 1, "status": "asleep"}]},
+        {"recallS": "soon"},
+    ],
+)
+def test_malformed_reports(change):
+    with pytest.raises(BadBody):
+        workers.parse_report(cbor2.dumps({**REPORT, **change}))
+
+
+def test_answers_to_workers():
+    commands = [
+        Command(Op.START, "wk-1", 0, 3),
+        Command(Op.STOP, "wk-2", 1, 1, 10.0),
+        Command(Op.FORGET, "wk-3", 0, 1),
+    ]
+    assert cbor2.loads(workers.answer(41, commands)) == {
+        "warrant": 41,
+        "slips": [
+            {"slipKind": "launch", "volume": "wk-1/0", "renewal": 3},
+            {"slipKind": "halt", "volume": "wk-2/1", "renewal": 1, "graceS": 10.0},
+            {"slipKind": "clear", "volume": "wk-3/0", "renewal": 1},
+        ],
+    }
+    assert cbor2.loads(workers.redirect("n1")) == {"returnDesk": "n1"}
+    assert cbor2.loads(workers.redirect(None)) == {}
+
+
+@pytest.mark.parametrize(
+    ("parse", "raw"),
+    [
+        (cloud.parse_types, {"bindings": [{"sku": "g8"}]}),
+        (cloud.parse_rented, {"stacks": [1]}),
+        (cloud.parse_list, {"stacks": [{"ref": "host-1"}], "truncated": False}),
+        (state.parse_entry, {"key": "a", "v": 1}),
+        (state.parse_changes, {"ledger": 3, "events": [{"set": 4}]}),
+        (state.parse_page, {"entries": [], "truncated": False}),
+        (state.parse_lease, {"loan": "7"}),
+        (state.parse_failed, {}),
+    ],
+)
+def test_malformed_answers_are_bad_bodies(parse, raw):
+    with pytest.raises(BadBody):
+        parse(cbor2.dumps(raw))
+
+
+def test_state_transaction():
+    raw = state.commit({"a": 3}, [state.Put("a", {"x": 1}, 7), state.Put("b", 2), state.Delete("c")])
+    assert cbor2.loads(raw) == {
+        "if": [{"key": "a", "stamp": 3}],
+        "apply": [{"set": "a", "v": {"x": 1}, "loan": 7}, {"set": "b", "v": 2}, {"drop": "c"}],
+    }
--- /dev/null
+++ b/tests/test_simulation.py
@@ -0,0 +1,49 @@
+"""Seeded days of the real controllers in a simulated world; the checker watches every rule."""
+
+import pytest
+
+from passrock.core.fleet import Fleet
+from standins import virtual_loop
+from standins.world import World
+
+
+def play(seed, duration=240.0, jobs=16, gap=12.0, **world):
+    """One day; the checker and how many users saw their job end."""
+
+    async def main():
+        one = World(seed, **world)
+        checker = await one.day(duration, jobs, gap)
+        return checker, one.done_users
+
+    return virtual_loop.run(main())
+
+
+def test_quiet_day_serves_everyone():
+    checker, done = play(1, gap=float("inf"))
+    assert checker.broken == []
+    assert done == 16
+
+
+@pytest.mark.parametrize(
+    ("seed", "world"),
+    [(seed, {}) for seed in range(10, 16)]
+    + [(seed, {"late": 0.05, "lost": 0.05}) for seed in range(20, 26)]
+    + [(seed, {"zones": ("a",), "late": 0.03}) for seed in range(30, 33)],
+)
+def test_rules_hold_on_days_of_faults(seed, world):
+    checker, done = play(seed, **world)
+    assert checker.broken == []
+    assert checker.starts > 0
+    assert done >= 8  # most users are served all the same
+
+
+def test_a_day_replays_exactly():
+    first, second = play(42, duration=120.0), play(42, duration=120.0)
+    assert (first[0].starts, first[0].told, first[1]) == (second[0].starts, second[0].told, second[1])
+
+
+def test_checker_catches_an_unsafe_scheduler(monkeypatch):
+    """A scheduler that takes silence for loss starts tasks twice, and the checker says so."""
+    monkeypatch.setattr(Fleet, "lease_over", lambda self, machine, now, fenced: now - machine.heard > 2.0)
+    rules = {rule for seed in range(50, 56) for _, rule, _ in play(seed, gap=6.0)[0].broken}
+    assert "ran_twice" in rules
