A new leader no longer deletes old machines it has yet to hear from

Cause: lateness was judged by age alone, and after a takeover every old machine is known from the list before its worker reports. Ruled out: leases (nothing was killed by its lease). Conclusion: kept, guarded by a simulated takeover.

--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -242,11 +242,9 @@
                 if machine.name not in self.book.held:
                     self.rentals.delete(machine)
         for machine in list(fleet.machines.values()):
-            if not machine.up and not machine.deleting:
-                age = now - machine.since
-                if age > 3 * machine.type.boot_s + self.settings.lease_s:
-                    info("machine_late", machine=machine.name, age=round(age))
-                    self.rentals.delete(machine)
+            if fleet.late(machine, now):
+                info("machine_late", machine=machine.name, age=round(now - machine.since))
+                self.rentals.delete(machine)
         if now - fleet.began > 2 * fleet.silent_s:
             for name in list(self.book.held):
                 if name not in fleet.machines and name not in fleet.deleted:
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -10,6 +10,8 @@
 
 # Two controllers' clocks may differ by 0.05 % each way; leases are waited out with this factor.
 DRIFT = 1.002
+# Slow machines take several times the usual boot time; after this many times one is given up.
+BOOT_PATIENCE = 3.0
 
 
 class TaskState(Enum):
@@ -177,6 +179,16 @@
         """Whether an up machine has not been heard of for too long."""
         return machine.up and now - max(machine.heard, self.began) > self.silent_s
 
+    def late(self, machine: Machine, now: float) -> bool:
+        """Whether a machine should have come up by now.
+
+        A new leader hears of old machines from the cloud's list before their workers have found it:
+        their age says nothing until it has led for a while.
+        """
+        if machine.up or machine.deleting or now - self.began < 2 * self.lease_s:
+            return False
+        return now - machine.since > BOOT_PATIENCE * machine.type.boot_s + self.lease_s
+
     def usable(self, machine: Machine, now: float) -> bool:
         """Whether tasks may be placed on the machine now."""
         return (
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -1,5 +1,7 @@
 """Seeded days of the real controllers in a simulated world; the checker watches every rule."""
 
+import asyncio
+
 import pytest
 
 from passrock.core.fleet import Fleet
@@ -37,6 +39,28 @@
     assert done >= 8  # most users are served all the same
 
 
+def test_takeover_keeps_the_machines():
+    """A new leader once deleted every machine that was old and had not yet reported to it."""
+
+    async def main():
+        world = World(7)
+        for number in range(6):
+            spec = world.job(number, format="service", precedence="prod", loanS=0.0)
+            world.spawn(world.user(spec, cancel_after=1e9))
+        await asyncio.sleep(100.0)
+        before = set(world.workers)
+        running = dict(world.checker.present)
+        starts = world.checker.starts
+        leader = next(name for name, sim in world.nodes.items() if sim.node.leadership.leading)
+        await world.crash([leader], 4.0)
+        await asyncio.sleep(30.0)
+        return before, set(world.workers), running, world.checker, starts
+
+    before, after, running, checker, starts = virtual_loop.run(main())
+    assert before == after and len(running) == 6
+    assert (checker.present, checker.starts, checker.broken) == (running, starts, [])
+
+
 def test_a_day_replays_exactly():
     first, second = play(42, duration=120.0), play(42, duration=120.0)
     assert (first[0].starts, first[0].told, first[1]) == (second[0].starts, second[0].told, second[1])
