--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -12,7 +12,7 @@
 from passrock.controller.rentals import Rentals
 from passrock.controller.replica import Replica
 from passrock.core.checkin import Checkins
-from passrock.core.fleet import Command, Fleet, Report
+from passrock.core.fleet import Command, Fleet, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
 from passrock.core.model import Priority
 from passrock.core.placement import Placer, stop_softly
@@ -176,6 +176,8 @@
         if machine.notice_until is not None and not machine.deleting:
             self._drain(machine.name, now)
         commands = self.checkins.handle(machine, report, now, launch=self.leadership.firm())
+        for live, why in self.checkins.exits:
+            info("task_end", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=machine.name, why=why)
         if not was_up:
             info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
         if self.checkins.changed or not was_up:
@@ -223,7 +225,8 @@
 
     def _watch_machines(self, now: float) -> None:
         fleet = self.fleet
-        up = [m for m in fleet.machines.values() if m.up and not m.deleting]
+        # a machine that holds tasks of an earlier term counts too, though it may never report in this one
+        up = [m for m in fleet.machines.values() if not m.deleting and (m.up or m.name in self.book.held)]
         silent = [m for m in up if fleet.silent(m, now)]
         if len(silent) * 2 <= len(up) + 2:
             for machine in silent:
@@ -288,11 +291,29 @@
         for name, team in sorted(result.owner.items()):
             records[team].append(name)
         changed = {team: names for team, names in records.items() if names != self.recorded.get(team, [])}
-        info("round", machines=len(result.owner), short=len(result.short), changed=len(changed))
+        info("round", short=len(result.short), changed=len(changed), **self._census())
         if changed:
             self.tasks.append(asyncio.ensure_future(self._record(changed)))
         self.tasks = [task for task in self.tasks if not task.done()]
 
+    def _census(self) -> dict[str, object]:
+        """Where the machines' GPUs are, for the log."""
+        sums = dict.fromkeys(("booting", "idle", "placed", "running", "stranded"), 0.0)
+        for machine in self.fleet.machines.values():
+            lives = self.book.held.get(machine.name, {}).values()
+            placed = sum(live.job.spec.need.gpus for live in lives)
+            if not machine.up:
+                sums["booting"] += machine.type.size.gpus
+            elif not lives:
+                sums["idle"] += machine.type.size.gpus
+            else:
+                sums["stranded"] += machine.type.size.gpus - placed
+            running = sum(live.job.spec.need.gpus for live in lives if live.state is TaskState.RUNNING)
+            sums["running"] += running
+            sums["placed"] += placed - running
+        waiting = sum(job.spec.need.gpus * job.waiting for job in self.book.jobs.values() if not job.cancelled)
+        return {"machines": len(self.fleet.machines), "waiting": waiting, **sums}
+
     def _bind(self, now: float) -> Binding:
         whole = max((kind.size.gpus for kind in self.market.types.values()), default=1.0) or 1.0
         units = []
--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -18,10 +18,12 @@
         self.fleet = fleet
         self.term = term
         self.changed = False
+        self.exits: list[tuple[Live, str]] = []
 
     def handle(self, machine: Machine, report: Report, now: float, launch: bool) -> list[Command]:
         """Commands in answer to a report that the fleet has just taken in."""
         self.changed = False
+        self.exits = []
         commands: list[Command] = []
         held = self.book.held.get(machine.name, {})
         for live in [one for one in held.values() if one.session < report.session]:
@@ -107,6 +109,7 @@
 
     def _exited(self, live: Live, row: TaskReport, machine: Machine, now: float) -> None:
         self.changed = True
+        self.exits.append((live, row.why + ("+saved" if row.saved else "")))
         job = live.job
         if row.why == "done":
             machine.failed_jobs.pop(job.spec.id, None)
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -176,8 +176,8 @@
         self.deleted[name] = now
 
     def silent(self, machine: Machine, now: float) -> bool:
-        """Whether an up machine has not been heard of for too long."""
-        return machine.up and now - max(machine.heard, self.began) > self.silent_s
+        """Whether a machine that should report has not been heard of for too long."""
+        return now - max(machine.heard, self.began) > self.silent_s
 
     def late(self, machine: Machine, now: float) -> bool:
         """Whether a machine should have come up by now.
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -71,3 +71,23 @@
     monkeypatch.setattr(Fleet, "lease_over", lambda self, machine, now, fenced: now - machine.heard > 2.0)
     rules = {rule for seed in range(50, 56) for _, rule, _ in play(seed, gap=6.0)[0].broken}
     assert "ran_twice" in rules
+
+
+def test_machine_that_hangs_across_a_takeover_is_replaced():
+    """The new leader knows the machine only from the list and the records; it must not wait for a report."""
+
+    async def main():
+        world = World(8)
+        spec = world.job(1, format="service", precedence="prod", loanS=0.0)
+        world.spawn(world.user(spec, cancel_after=1e9))
+        await asyncio.sleep(60.0)
+        ((machine, _),) = world.checker.present[("wk-000001", 0)]
+        world.workers[machine].hung_until = world.now() + 60.0
+        leader = next(name for name, sim in world.nodes.items() if sim.node.leadership.leading)
+        await world.crash([leader], 4.0)
+        await asyncio.sleep(16.0)
+        return machine, world.checker
+
+    machine, checker = virtual_loop.run(main())
+    assert checker.broken == []
+    assert checker.present[("wk-000001", 0)] and machine not in dict(checker.present[("wk-000001", 0)])
