--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -37,6 +37,13 @@
             match = live_now is not None and live_now.attempt == row.attempt and live_now.session == report.session
             if row.state is TaskState.EXITED:
                 if match and live_now is not None:
+                    if launch and self._wait_on(live_now, row):
+                        commands.append(Command(Op.FORGET, row.job, row.index, row.attempt))
+                        commands.append(Command(Op.START, row.job, row.index, row.attempt))
+                        live_now.sent_seq = report.seq
+                        live_now.seen = False
+                        live_now.state = None
+                        continue
                     self._exited(live_now, row, machine, now)
                 if self.book.settled(row.job, row.index) and launch:
                     commands.append(Command(Op.FORGET, row.job, row.index, row.attempt))
@@ -124,6 +131,18 @@
             job.not_before = now + self.fleet.report_s * 2
         self.book.gone(live, now)
 
+    def _wait_on(self, live: Live, row: TaskReport) -> bool:
+        """A gang task gave up waiting while its mates still fetch their image: start it again there.
+
+        Mates need very different times for large images. Giving the whole gang up each time the
+        first ones lost patience made it fetch and wait over and over.
+        """
+        if row.why != "alone" or live.stop is not None or live.job.cancelled:
+            return False
+        mates = list(live.job.lives())
+        started = any(mate.running_since is not None for mate in mates)
+        return not started and len(mates) == live.job.spec.tasks
+
     def _failed(self, job: Job, machine: Machine, now: float) -> None:
         """A task failed: mostly the machine is at fault, but a job may fail wherever it is started."""
         machine.failed_jobs[job.spec.id] = now
