Queue by when each class should start; a job's age survives takeovers

Cause: first come first served spent room on jobs with minutes to spare while others missed their aims. Ruled out: guarantees (met).

--- a/deploy/passrock.hcl
+++ b/deploy/passrock.hcl
@@ -5,7 +5,7 @@
 leader_lease_ratio = 0.25
 
 # A machine that has not reported for this part of the workers' lease is given up (0.2 to 1).
-silent_ratio = 0.5
+silent_ratio = 0.36
 
 # Seconds between binding rounds (1 to 600).
 round_s = 20.0
@@ -17,8 +17,8 @@
 buffer_share = 0.0
 
 # An idle machine is returned after this many boot times (0 to 20), but not before idle_floor_s (0 to 3600).
-idle_boot_ratio = 1.0
-idle_floor_s = 20.0
+idle_boot_ratio = 0.4
+idle_floor_s = 8.0
 
 # The part of the process's sockets that users and workers may hold (0.2 to 0.95).
 socket_share = 0.85
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -11,6 +11,7 @@
 from passrock.controller.pump import Pump
 from passrock.controller.rentals import Rentals
 from passrock.controller.replica import Replica
+from passrock.core.aims import Aims
 from passrock.core.checkin import Checkins
 from passrock.core.fleet import Command, Fleet, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
@@ -18,7 +19,7 @@
 from passrock.core.placement import Placer, stop_softly
 from passrock.core.renting import Market, plan_rentals, plan_returns
 from passrock.core.reservation import Binding, Claim, Unit, bind
-from passrock.io.clock import steady
+from passrock.io.clock import steady, time_of_day
 from passrock.io.cloud import CloudClient
 from passrock.io.state import Committed, StateClient, StateError
 from passrock.logs import error, info
@@ -51,7 +52,7 @@
         self.fleet = Fleet(settings.report_s, settings.lease_s, operator.silent_ratio, self.began)
         self.checkins = Checkins(self.book, self.fleet, leadership.term)
         self.bound: dict[str, str] = {}
-        self.placer = Placer(self.book, self.fleet, settings.teams, self.bound)
+        self.placer = Placer(self.book, self.fleet, settings.teams, self.bound, Aims(settings.objectives))
         self.pump = Pump(state, self.book, leadership.stamp, settings.txn_ops)
         self.pump.on_final = replica.note_final
         self.pump.on_commit = self.poke
@@ -114,7 +115,7 @@
         now = steady()
         jobs = sorted(self.replica.with_prefix(keys.JOB), key=lambda e: (e.value["at"], e.key))
         for entry in jobs:
-            self.book.load(entry.value, entry.version, now)
+            self.book.load(entry.value, entry.version, now, time_of_day())
         for entry in self.replica.with_prefix(keys.CHUNK):
             job_id, _, number = entry.key[len(keys.CHUNK) :].rpartition("/")
             job = self.book.jobs.get(job_id)
@@ -144,7 +145,7 @@
             if entry is None:
                 self.pump.removed.discard(job_id)
             elif job_id not in self.book.jobs and job_id not in self.pump.removed:
-                job = self.book.load(entry.value, entry.version, steady())
+                job = self.book.load(entry.value, entry.version, steady(), time_of_day())
                 info("job_new", job=job_id, team=job.spec.team, kind=job.spec.kind, tasks=job.spec.tasks)
                 self.poke()
         elif key.startswith(keys.CANCEL) and entry is not None:
--- /dev/null
+++ b/src/passrock/core/aims.py
@@ -0,0 +1,51 @@
+"""What the users expect of each class of jobs, and by when a waiting job should start."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from passrock.core.jobs import Job
+
+PAST = 1e9  # after every job that can still meet an aim
+
+
+@dataclass(slots=True, frozen=True)
+class Objective:
+    """An aim on starting or finishing that the platform hands over."""
+
+    kind: str
+    job_class: str
+    within_s: float
+    share: float
+
+
+class Aims:
+    """The objectives, by class."""
+
+    def __init__(self, objectives: tuple[Objective, ...]) -> None:
+        self._waits: dict[str, list[float]] = {}
+        self._ends: dict[str, list[float]] = {}
+        for aim in objectives:
+            if aim.kind == "wait":
+                self._waits.setdefault(aim.job_class, []).append(aim.within_s)
+            elif aim.kind == "finished":
+                self._ends.setdefault(aim.job_class, []).append(aim.within_s)
+        for times in (*self._waits.values(), *self._ends.values()):
+            times.sort()
+
+    def due(self, job: Job, now: float) -> float:
+        """When the job should start to meet the next aim that it can still meet.
+
+        A job that has missed an aim no longer competes for it with those that can still make it.
+        """
+        spec = job.spec
+        for within in self._waits.get(spec.job_class, ()):
+            if now < job.order + within:
+                return job.order + within
+        ends = list(self._ends.get(spec.job_class, ()))
+        if spec.deadline is not None:
+            ends.append(spec.deadline)
+        for within in sorted(ends):
+            if now < job.order + within - spec.estimate:
+                return job.order + within - spec.estimate
+        return PAST + job.order
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -221,15 +221,17 @@
         self.usage: dict[str, Amount] = {}
         self.dirty: dict[tuple[str, int], None] = {}
         self.finishing: dict[str, None] = {}
-        self._order = 0.0
 
     # -- reading records ------------------------------------------------------------------
 
-    def load(self, record: dict[str, Any], stamp: int, now: float) -> Job:
-        """Take in a job from its record."""
-        self._order += 1e-6
+    def load(self, record: dict[str, Any], stamp: int, now: float, today: float) -> Job:
+        """Take in a job from its record; ``today`` is the time of day, which tells the job's age.
+
+        Counting the age from when this leader learned of the job would give every waiting job a new
+        start at each takeover.
+        """
         spec = decode_spec(record["s"])
-        job = Job(spec, record["at"], self.chunk_size, now + self._order)
+        job = Job(spec, record["at"], self.chunk_size, now - max(0.0, today - record["at"]))
         self.jobs[spec.id] = job
         self.load_chunk(job, 0, record, stamp)
         return job
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from passrock.core.aims import Aims
 from passrock.core.fleet import Fleet, Machine, TaskState
 from passrock.core.jobs import Book, Job, Live
 from passrock.core.model import NOTHING, Amount, Kind, Priority, Team
@@ -51,7 +52,7 @@
 class Placer:
     """Places waiting tasks; one pass at a time."""
 
-    def __init__(self, book: Book, fleet: Fleet, teams: dict[str, Team], bound: dict[str, str]) -> None:
+    def __init__(self, book: Book, fleet: Fleet, teams: dict[str, Team], bound: dict[str, str], aims: Aims) -> None:
         self.book = book
         self.fleet = fleet
         self.teams = teams
@@ -62,6 +63,7 @@
         self.strays: set[tuple[str, int]] = set()
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
+        self.aims = aims
 
     # -- order ---------------------------------------------------------------------------
 
@@ -107,9 +109,9 @@
             and not (job.spec.kind is Kind.GANG and job.live_count > 0)
         ]
 
-        def order(job: Job) -> tuple[bool, bool, int, float]:
-            production, guaranteed, priority = self.rank(job)
-            return not production, not guaranteed, -priority, job.order
+        def order(job: Job) -> tuple[bool, bool, float, float]:
+            production, guaranteed, _ = self.rank(job)
+            return not production, not guaranteed, self.aims.due(job, now), job.order
 
         return sorted(ready, key=order)
 
--- a/src/passrock/settings.py
+++ b/src/passrock/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from passrock.core.aims import Objective
 from passrock.core.model import Team
 
 
@@ -35,16 +36,6 @@
     address: Address
 
 
-@dataclass(slots=True, frozen=True)
-class Objective:
-    """An aim on starting or finishing that the platform hands over."""
-
-    kind: str
-    job_class: str
-    within_s: float
-    share: float
-
-
 @dataclass(slots=True, frozen=True)
 class Operator:
     """Operators' own settings: ratios to the platform's figures. Defaults stand in deploy/passrock.hcl."""
