--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -15,6 +15,7 @@
 from passrock.controller.users import Users
 from passrock.core.admission import Limiter
 from passrock.core.budget import Budget
+from passrock.core.fleet import Command
 from passrock.core.renting import Market
 from passrock.io.clock import steady
 from passrock.io.cloud import CloudClient, CloudError
@@ -110,7 +111,7 @@
             return True
         return not any(not hello.state_down for hello, _ in self.peers.answers(now - 3.0))
 
-    def _checkin(self, request: Request) -> Response:
+    def _checkin(self, request: Request) -> Response | Awaitable[Response]:
         try:
             report = worker_wire.parse_report(request.body)
         except BadBody as problem:
@@ -119,8 +120,18 @@
         if not self.leadership.may_renew():
             leader = self.leadership.leader()
             return Response(421, worker_wire.redirect(leader if leader != self.settings.node else None))
-        commands = self.term.checkin(report) if self.term is not None else []
-        return Response(200, worker_wire.answer(self.leadership.term, commands))
+        if self.term is None:
+            return Response(200, worker_wire.answer(self.leadership.term, []))
+        commands = self.term.checkin(report)
+        if isinstance(commands, list):
+            return Response(200, worker_wire.answer(self.leadership.term, commands))
+        return self._checked_in(commands, self.leadership.term)
+
+    async def _checked_in(self, work: Awaitable[list[Command]], term: int) -> Response:
+        commands = await work
+        if not self.leadership.may_renew() or self.leadership.term != term:
+            return Response(421, worker_wire.redirect(None))
+        return Response(200, worker_wire.answer(term, commands))
 
     # -- running --------------------------------------------------------------------------------------
 
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Awaitable
 from typing import Any
 
 from passrock.controller import keys
@@ -13,7 +14,7 @@
 from passrock.controller.replica import Replica
 from passrock.core.aims import Aims
 from passrock.core.checkin import Checkins
-from passrock.core.fleet import Command, Fleet, Report, TaskState
+from passrock.core.fleet import Command, Fleet, Machine, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
 from passrock.core.model import Priority
 from passrock.core.placement import Placer, stop_softly
@@ -162,8 +163,12 @@
 
     # -- check-ins ---------------------------------------------------------------------------------
 
-    def checkin(self, report: Report) -> list[Command]:
-        """Commands for a worker; its lease is renewed by the answer."""
+    def checkin(self, report: Report) -> list[Command] | Awaitable[list[Command]]:
+        """Commands for a worker; its lease is renewed by the answer.
+
+        When the report makes room, what is placed there goes into the same answer: it waits for the
+        commit for a small part of the report interval.
+        """
         now = steady()
         kind = self.market.types.get(report.type)
         if not self.ready or kind is None:
@@ -177,14 +182,29 @@
         if machine.notice_until is not None and not machine.deleting:
             self._drain(machine.name, now)
         commands = self.checkins.handle(machine, report, now, launch=self.leadership.firm())
+        for live in self.checkins.begun:
+            after = round(now - live.placed_at, 1) if live.mine else "?"
+            info("task_runs", job=live.job.spec.id, task=live.index, machine=machine.name, after_s=after)
         for live, why in self.checkins.exits:
-            info("task_end", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=machine.name, why=why)
+            job = live.job.spec.id
+            info("task_end", job=job, task=live.index, attempt=live.attempt, machine=machine.name, why=why)
         if not was_up:
             info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
         if self.checkins.changed or not was_up:
-            self.poke()
+            self.tick()
         if self.book.dirty or self.book.finishing:
             self.pump.wake.set()
+        if any(live.sent_seq is None and live.mine for live in self.book.held.get(machine.name, {}).values()):
+            return self._with_launches(machine, report, commands)
+        return commands
+
+    async def _with_launches(self, machine: Machine, report: Report, commands: list[Command]) -> list[Command]:
+        end = steady() + self.settings.report_s / 4
+        while steady() < end and not all(map(self.book.committed, self.book.held.get(machine.name, {}).values())):
+            await asyncio.sleep(self.settings.report_s / 100)
+        if self.leadership.firm():
+            commands += self.checkins.launches(machine, report)
+        machine.answered = steady()
         return commands
 
     def _drain(self, name: str, now: float) -> None:
--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -19,11 +19,13 @@
         self.term = term
         self.changed = False
         self.exits: list[tuple[Live, str]] = []
+        self.begun: list[Live] = []
 
     def handle(self, machine: Machine, report: Report, now: float, launch: bool) -> list[Command]:
         """Commands in answer to a report that the fleet has just taken in."""
         self.changed = False
         self.exits = []
+        self.begun = []
         commands: list[Command] = []
         held = self.book.held.get(machine.name, {})
         for live in [one for one in held.values() if one.session < report.session]:
@@ -59,13 +61,21 @@
         machine.strays = strays
         for live in list(self.book.held.get(machine.name, {}).values()):
             if (live.job.spec.id, live.index, live.attempt) not in listed:
-                commands += self._absent(live, report, machine, now, launch)
+                commands += self._absent(live, report, machine, launch, now)
                 if live.state is None:
                     fetching.setdefault(live.job.spec.image, live.job.spec.image_gb)
         machine.fetching = {image: gb for image, gb in fetching.items() if image not in machine.images}
         self._recount(machine, now)
         return commands
 
+    def launches(self, machine: Machine, report: Report) -> list[Command]:
+        """Starts whose records were committed while the answer to this report was being made."""
+        commands = []
+        for live in list(self.book.held.get(machine.name, {}).values()):
+            if live.sent_seq is None and not live.seen and live.stop is None and live.session == report.session:
+                commands += self._absent(live, report, machine, launch=True)
+        return commands
+
     def _recount(self, machine: Machine, now: float) -> None:
         used = NOTHING
         lives = self.book.held.get(machine.name, {})
@@ -88,6 +98,7 @@
             live.state = row.state
             if row.state is TaskState.RUNNING and live.running_since is None:
                 live.running_since = now
+                self.begun.append(live)
         if row.state is not TaskState.FETCHING:
             machine.fetched(live.job.spec)
 
@@ -98,7 +109,9 @@
             return []
         return [Command(Op.STOP, row.job, row.index, row.attempt, live.stop)]
 
-    def _absent(self, live: Live, report: Report, machine: Machine, now: float, launch: bool) -> list[Command]:
+    def _absent(
+        self, live: Live, report: Report, machine: Machine, launch: bool, now: float | None = None
+    ) -> list[Command]:
         """A recorded attempt that the report does not list.
 
         Only a report that carries this leader's own term proves absence: an older one may have been
@@ -106,7 +119,7 @@
         """
         proof = report.token == self.term and (live.sent_seq is None or report.seq > live.sent_seq)
         unwanted = live.stop is not None or live.job.cancelled or machine.notice_until is not None or machine.deleting
-        if proof and (unwanted or live.seen):
+        if proof and (unwanted or live.seen) and now is not None:
             self._gone(live, now)
             return []
         if unwanted or not launch or not self.book.committed(live):
--- a/src/passrock/io/clock.py
+++ b/src/passrock/io/clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 
 def steady() -> float:
@@ -11,6 +12,15 @@
     return asyncio.get_running_loop().time()
 
 
+_wall: Callable[[], float] = time.time
+
+
+def use_wall_clock(source: Callable[[], float]) -> None:
+    """Take the time of day from elsewhere, as a simulation does."""
+    global _wall
+    _wall = source
+
+
 def time_of_day() -> float:
     """Seconds since 1970."""
-    return time.time()
+    return _wall()
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -8,6 +8,7 @@
 
 from passrock.controller.node import Node
 from passrock.core.budget import Budget
+from passrock.io.clock import use_wall_clock
 from passrock.io.cloud import CloudClient
 from passrock.io.http_client import NoAnswer
 from passrock.io.http_server import Request, Response
@@ -162,6 +163,7 @@
 
     def __init__(self, seed, zones=("a", "b", "c"), node_count=3, machines=6, late=0.0, lost=0.0):
         self.rng = random.Random(seed)
+        use_wall_clock(asyncio.get_running_loop().time)
         self.zones = zones
         self.node_count = node_count
         self.limits = dict(LIMITS)
@@ -271,14 +273,17 @@
 
     def _late_report(self, name, body):
         if name in self.nodes:
-            self.nodes[name].node.handle(Request("POST", "/checkin", body))
+            result = self.nodes[name].node.handle(Request("POST", "/checkin", body))
+            if not isinstance(result, Response):
+                self.spawn(result)
 
     async def _ask(self, name, request):
         sim = self.nodes.get(name)
         if sim is None or not sim.alive:
             raise ConnectionError("no process")
         result = sim.node.handle(request)
-        response = result if isinstance(result, Response) else await result
+        # a handler goes on when its user has given up
+        response = result if isinstance(result, Response) else await asyncio.shield(result)
         if not sim.alive:
             raise ConnectionError("process ended")
         return response
