--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -15,6 +15,16 @@
 WATCH_MS = 4000
 FINALS_KEPT = 20_000
 RETRY_S = 0.3
+LOADED = (
+    keys.JOB,
+    keys.CHUNK,
+    keys.CANCEL,
+    keys.INTENT,
+    keys.RESERVATION,
+    keys.HINT,
+    keys.LEADER,
+    keys.TERM,
+)
 
 Listener = Callable[[str, Entry | None], None]
 
@@ -48,7 +58,7 @@
     async def _load(self) -> None:
         fresh: dict[str, Entry] = {}
         start: int | None = None
-        for prefix in (keys.JOB, keys.CHUNK, keys.CANCEL, keys.INTENT, keys.RESERVATION, keys.LEADER, keys.TERM):
+        for prefix in LOADED:
             after, more = "", True
             while more:
                 rows, more, revision = await self.state.page(prefix, after)
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -27,6 +27,8 @@
 from passrock.settings import Settings
 from passrock.wire.state import Entry, Put, Write
 
+HINT_BYTES = 160  # a machine with its images in a hint record, at its longest
+
 
 class Term:
     """Everything that ends with the leadership."""
@@ -63,7 +65,7 @@
         self.rentals.on_change = self.poke
         self.ready = False
         self.round_due = 0.0
-        self.recorded: dict[str, list[str]] = {}
+        self.recorded: dict[str, Any] = {}
         self.tasks: list[asyncio.Task[None]] = []
         self._poked = asyncio.Event()
         self._last_tick = self.began
@@ -132,8 +134,10 @@
             self.book.check_loaded(job)
         for entry in self.replica.with_prefix(keys.RESERVATION):
             team = entry.key[len(keys.RESERVATION) :]
-            self.recorded[team] = entry.value["m"]
+            self.recorded[entry.key] = entry.value
             self.bound.update(dict.fromkeys(entry.value["m"], team))
+        for entry in self.replica.with_prefix(keys.HINT):
+            self.fleet.load_hints(entry.value)
         self.replica.listeners.append(self._listen)
         self.ready = True
         info("term_ready", term=self.leadership.term, jobs=len(self.book.jobs), machines=len(self.book.held))
@@ -311,7 +315,10 @@
         records: dict[str, list[str]] = {team: [] for team in self.settings.teams}
         for name, team in sorted(result.owner.items()):
             records[team].append(name)
-        changed = {team: names for team, names in records.items() if names != self.recorded.get(team, [])}
+        writes: dict[str, Any] = {keys.RESERVATION + team: {"m": names} for team, names in records.items()}
+        hints = self.fleet.encode_hints(max(1, self.settings.value_bytes // HINT_BYTES))
+        writes.update({f"{keys.HINT}{i}": record for i, record in enumerate(hints)})
+        changed = {key: value for key, value in writes.items() if value != self.recorded.get(key)}
         info("round", short=len(result.short), changed=len(changed), **self._census())
         if changed:
             self.tasks.append(asyncio.ensure_future(self._record(changed)))
@@ -353,12 +360,12 @@
             claims.append(Claim(team.name, desired, team.gpus / whole, desired * self.settings.operator.buffer_share))
         return bind(units, claims, self.bound, self.settings.zones, self.settings.operator.alpha_extra)
 
-    async def _record(self, changed: dict[str, list[str]]) -> None:
-        """Write the reservations that changed, a transaction's worth at a time."""
-        teams = sorted(changed)
-        while teams:
-            now_teams, teams = teams[: self.settings.txn_ops], teams[self.settings.txn_ops :]
-            writes: list[Write] = [Put(keys.RESERVATION + team, {"m": changed[team]}) for team in now_teams]
+    async def _record(self, changed: dict[str, Any]) -> None:
+        """Write the reservations and hints that changed, a transaction's worth at a time."""
+        names = sorted(changed)
+        while names:
+            part, names = names[: self.settings.txn_ops], names[self.settings.txn_ops :]
+            writes: list[Write] = [Put(key, changed[key]) for key in part]
             try:
                 result = await self.state.commit({keys.LEADER: self.leadership.stamp}, writes)
             except StateError:
@@ -366,5 +373,5 @@
             if not isinstance(result, Committed):
                 self.leadership.step_down("leader key lost")
                 return
-            for team in now_teams:
-                self.recorded[team] = changed[team]
+            for key in part:
+                self.recorded[key] = changed[key]
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from typing import Any
 
 from passrock.core.model import NOTHING, Amount, MachineType, Spec
 
@@ -144,6 +145,7 @@
         self.began = began
         self.machines: dict[str, Machine] = {}
         self.deleted: dict[str, float] = {}
+        self.hints: dict[str, dict[str, float]] = {}
 
     def add(self, name: str, kind: MachineType, zone: str, spot: bool, now: float, age: float = 0.0) -> Machine:
         """A machine that was rented or listed; known ones stay as they are."""
@@ -151,6 +153,7 @@
         if machine is None:
             machine = Machine(name, kind, zone, spot, since=now - age, heard=now)
             machine.answered = now
+            machine.images.update(self.hints.pop(name, {}))
             self.machines[name] = machine
         return machine
 
@@ -170,6 +173,24 @@
             machine.notice_until = now + report.notice
         return machine
 
+    def encode_hints(self, most: int) -> list[dict[str, Any]]:
+        """Which machine has which images, in records of up to ``most`` machines, for the next leader."""
+        warm = sorted((m for m in self.machines.values() if m.images), key=lambda m: m.name)
+        records = []
+        for first in range(0, len(warm), most):
+            part = warm[first : first + most]
+            sizes = {image: gb for machine in part for image, gb in machine.images.items()}
+            number = {image: i for i, image in enumerate(sizes)}
+            held = {machine.name: [number[image] for image in machine.images] for machine in part}
+            records.append({"i": [[image, gb] for image, gb in sizes.items()], "m": held})
+        return records
+
+    def load_hints(self, record: dict[str, Any]) -> None:
+        """Take in such a record; machines get their images when they are first seen."""
+        images = record["i"]
+        for name, numbers in record["m"].items():
+            self.hints[name] = {images[i][0]: images[i][1] for i in numbers}
+
     def forget(self, name: str, now: float) -> None:
         """The cloud has taken the machine: nothing of it is left."""
         self.machines.pop(name, None)
