--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -291,7 +291,7 @@
                 stop_softly(live, now, self.settings.gang_peer_s)
 
     def _rent(self, queue: list[Job], now: float) -> None:
-        wanted = plan_rentals(queue, self.book, self.fleet, self.settings.teams, self.market, now)
+        wanted = plan_rentals(queue, self.book, self.fleet, self.settings.teams, self.market, self.placer.aims, now)
         for offer, count in wanted.items():
             self.rentals.rent(offer, count)
         if queue:
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -4,12 +4,14 @@
 
 from dataclasses import dataclass, field
 
+from passrock.core.aims import Aims
 from passrock.core.fleet import Fleet, Machine
 from passrock.core.jobs import Book, Job
 from passrock.core.model import NOTHING, Amount, Kind, MachineType, Team
 
 LEAST_CHARGED_S = 60.0  # the cloud charges a deleted machine for at least this long
 TASKS_SEEN = 64
+RENT_AHEAD = 1.5  # times the lead time before a job is due
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,8 +44,12 @@
         kind = self.types[offer.type]
         return kind.spot_price if offer.spot else kind.price
 
-    def offers(self, job: Job, now: float) -> list[Offer]:
-        """What the job may use and the cloud has not refused lately, cheapest first."""
+    def offers(self, job: Job, aims: Aims, now: float) -> list[Offer]:
+        """What the job may use and the cloud has not refused lately, cheapest first.
+
+        A job that may use cheap machines gets a dear one only when it would be late otherwise: most
+        of its time it can wait for room that is paid for already.
+        """
         found = [
             Offer(kind.name, zone, spot)
             for kind in self.types.values()
@@ -52,9 +58,20 @@
             for spot in (True, False)
             if job.spec.allows(kind.name, zone, spot)
         ]
-        open_ones = [offer for offer in found if self.refused.get(offer, 0.0) <= now]
+        due = aims.due(job, now)
+        open_ones = [
+            offer
+            for offer in found
+            if self.refused.get(offer, 0.0) <= now
+            and (offer.spot or not job.spec.spot or due - now <= RENT_AHEAD * self.lead_time(offer.type, job))
+        ]
         return sorted(open_ones, key=lambda offer: (self.price(offer), offer.zone))
 
+    def lead_time(self, type_name: str, job: Job) -> float:
+        """Seconds from the request for a machine until a task of the job runs on it."""
+        kind = self.types[type_name]
+        return kind.boot_s + (job.spec.image_gb / kind.fetch_rate if kind.fetch_rate > 0 else 0.0)
+
     def refuse(self, offer: Offer, until: float) -> None:
         """None to be had for a while."""
         self.refused[offer] = until
@@ -72,7 +89,7 @@
 
 
 def plan_rentals(
-    queue: list[Job], book: Book, fleet: Fleet, teams: dict[str, Team], market: Market, now: float
+    queue: list[Job], book: Book, fleet: Fleet, teams: dict[str, Team], market: Market, aims: Aims, now: float
 ) -> dict[Offer, int]:
     """How many machines of which kind to rent so that the queue's tasks find room.
 
@@ -95,9 +112,9 @@
             continue
         used[job.spec.team] = used.get(job.spec.team, NOTHING) + job.spec.need.times(count)
         if job.spec.kind is Kind.GANG:
-            added = _gang_bins(job, count, bins, rooms, market, now)
+            added = _gang_bins(job, count, bins, rooms, market, aims, now)
         else:
-            added = _each_bins(job, count, bins, market, now)
+            added = _each_bins(job, count, bins, market, aims, now)
         for new in added:
             bins.append(new)
             wanted[new.offer] = wanted.get(new.offer, 0) + 1
@@ -113,14 +130,14 @@
     )
 
 
-def _each_bins(job: Job, count: int, bins: list[Bin], market: Market, now: float) -> list[Bin]:
+def _each_bins(job: Job, count: int, bins: list[Bin], market: Market, aims: Aims, now: float) -> list[Bin]:
     added: list[Bin] = []
     for _ in range(count):
         fitting = [one for one in bins + added if _suits(job, one, None)]
         if fitting:
             one = min(fitting, key=lambda one: one.room.gpus)
         else:
-            offers = market.offers(job, now)
+            offers = market.offers(job, aims, now)
             if not offers:
                 break
             one = Bin(offers[0], market.types[offers[0].type].size, False)
@@ -129,8 +146,10 @@
     return added
 
 
-def _gang_bins(job: Job, count: int, bins: list[Bin], rooms: list[Bin], market: Market, now: float) -> list[Bin]:
-    offers = market.offers(job, now)
+def _gang_bins(
+    job: Job, count: int, bins: list[Bin], rooms: list[Bin], market: Market, aims: Aims, now: float
+) -> list[Bin]:
+    offers = market.offers(job, aims, now)
     zones: list[str | None] = [None]
     if job.spec.one_zone:
         zones = list(dict.fromkeys([offer.zone for offer in offers] + [one.offer.zone for one in bins + rooms]))
