--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -13,7 +13,7 @@
 # Costs are in seconds, so that they weigh against the wait for an image.
 PACK_COST = 15.0
 FOREIGN_COST = 4.0
-DEAR_COST = 10.0
+DEAR_COST = 40.0
 TOGETHER_COST = 10.0
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
