--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -16,7 +16,6 @@
 from passrock.core.checkin import Checkins
 from passrock.core.fleet import Command, Fleet, Machine, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
-from passrock.core.model import Priority
 from passrock.core.placement import Placer, stop_softly
 from passrock.core.renting import Market, plan_rentals, plan_returns
 from passrock.core.reservation import Binding, Claim, Unit, bind
@@ -282,9 +281,7 @@
 
     def _preempt(self, queue: list[Job], now: float) -> None:
         for job in queue:
-            if job.spec.priority < Priority.HIGH and job.spec.id not in self.placer.guaranteed:
-                continue
-            if now - job.order < self.settings.report_s:
+            if now - job.order < self.settings.report_s or not self.placer.worth_preempting(job, now):
                 continue
             for live in self.placer.make_room(job, now, self.settings.lease_s):
                 info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
--- a/src/passrock/core/aims.py
+++ b/src/passrock/core/aims.py
@@ -25,6 +25,7 @@
     def __init__(self, objectives: tuple[Objective, ...]) -> None:
         self._waits: dict[str, list[float]] = {}
         self._ends: dict[str, list[float]] = {}
+        self._guarantees = sorted(aim.within_s for aim in objectives if aim.kind == "guarantee")
         for aim in objectives:
             if aim.kind == "wait":
                 self._waits.setdefault(aim.job_class, []).append(aim.within_s)
@@ -33,13 +34,14 @@
         for times in (*self._waits.values(), *self._ends.values()):
             times.sort()
 
-    def due(self, job: Job, now: float) -> float:
+    def due(self, job: Job, now: float, guaranteed: bool = False) -> float:
         """When the job should start to meet the next aim that it can still meet.
 
         A job that has missed an aim no longer competes for it with those that can still make it.
         """
         spec = job.spec
-        for within in self._waits.get(spec.job_class, ()):
+        waits = self._waits.get(spec.job_class, [])
+        for within in sorted(waits + self._guarantees) if guaranteed else waits:
             if now < job.order + within:
                 return job.order + within
         ends = list(self._ends.get(spec.job_class, ()))
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -8,7 +8,7 @@
 from passrock.core.aims import Aims
 from passrock.core.fleet import Fleet, Machine, TaskState
 from passrock.core.jobs import Book, Job, Live
-from passrock.core.model import NOTHING, Amount, Kind, Priority, Team
+from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
 
 # Costs are in seconds, so that they weigh against the wait for an image.
 PACK_COST = 15.0
@@ -64,6 +64,7 @@
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
         self.aims = aims
+        self.patience = fleet.report_s * 3  # until a task that is told to stop has made room
 
     # -- order ---------------------------------------------------------------------------
 
@@ -111,7 +112,7 @@
 
         def order(job: Job) -> tuple[bool, bool, float, float]:
             production, guaranteed, _ = self.rank(job)
-            return not production, not guaranteed, self.aims.due(job, now), job.order
+            return not production, not guaranteed, self.aims.due(job, now, guaranteed), job.order
 
         return sorted(ready, key=order)
 
@@ -271,12 +272,28 @@
     def loss(self, victim: Live, now: float) -> float:
         """Seconds of work lost when this task is stopped, over its whole gang."""
         spec = victim.job.spec
-        ran = 0.0 if victim.running_since is None else now - victim.running_since
-        lost = spec.save if spec.checkpoint > 0 else ran
-        restart = 5.0
+        saves = spec.checkpoint > 0 and victim.state is TaskState.RUNNING
+        lost = spec.save if saves else now - victim.placed_at  # a fetch that is broken off is lost too
+        machine = self.fleet.machines.get(victim.machine)
+        restart = fetch_time(spec, machine.type) if machine is not None else 0.0
         count = victim.job.live_count if spec.kind is Kind.GANG else 1
         return (lost + restart) * count * max(1.0, spec.need.gpus)
 
+    def worth_preempting(self, job: Job, now: float) -> bool:
+        """Whether displacing other work now lets the job meet an aim that waiting would miss.
+
+        Under overload, displacing early and for aims that were lost already made most machines fetch
+        images instead of running tasks.
+        """
+        if job.spec.priority is Priority.PRODUCTION:
+            return True
+        guaranteed = job.spec.id in self.guaranteed
+        if job.spec.priority < Priority.HIGH and not guaranteed:
+            return False
+        fetch = max((fetch_time(job.spec, machine.type) for machine in self.usable), default=0.0)
+        slack = self.aims.due(job, now, guaranteed) - now - fetch - self.patience
+        return 0 <= slack <= self.fleet.lease_s
+
     def make_room(self, job: Job, now: float, patience: float) -> list[Live]:
         """Choose victims so that the job's waiting tasks fit; returns the attempts to stop."""
         spec = job.spec
@@ -360,6 +377,11 @@
         return (total, stopped) if need.fits(room) else None
 
 
+def fetch_time(spec: Spec, kind: MachineType) -> float:
+    """Seconds to fetch the job's image on a machine without it."""
+    return spec.image_gb / kind.fetch_rate if kind.fetch_rate > 0 else 0.0
+
+
 def stop_softly(live: Live, now: float, patience: float) -> None:
     """Ask a task to end, with time to save where it has checkpoints."""
     if live.stop is None:
