--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -290,8 +290,16 @@
         guaranteed = job.spec.id in self.guaranteed
         if job.spec.priority < Priority.HIGH and not guaranteed:
             return False
-        fetch = max((fetch_time(job.spec, machine.type) for machine in self.usable), default=0.0)
-        slack = self.aims.due(job, now, guaranteed) - now - fetch - self.patience
+        spec = job.spec
+        waits = sorted(
+            machine.fetch_wait(spec)
+            for machine in self.usable
+            if spec.allows(machine.type.name, machine.zone, machine.spot)
+        )
+        needed = spec.tasks if spec.kind is Kind.GANG else 1
+        if len(waits) < needed:
+            return False
+        slack = self.aims.due(job, now, guaranteed) - now - waits[needed - 1] - self.patience
         return 0 <= slack <= self.fleet.lease_s
 
     def make_room(self, job: Job, now: float, patience: float) -> list[Live]:
