Zone-loss buffer for production work, early rounds, tables of cases for the core

The buffer is room in other zones that is idle or lent to work that gives way; machines are rented for it only where that is lacking.

--- a/deploy/passrock.hcl
+++ b/deploy/passrock.hcl
@@ -13,8 +13,8 @@
 # How far a zone's part of a reservation may exceed an even share of the others (0 to 1).
 alpha_extra = 0.1
 
-# The part of a reservation's desired capacity that must survive the loss of a zone (0 to 1).
-buffer_share = 0.0
+# The part of production work that must find room in the other zones when one is lost (0 to 1).
+buffer_share = 1.0
 
 # An idle machine is returned after this many boot times (0 to 20), but not before idle_floor_s (0 to 3600).
 idle_boot_ratio = 0.4
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable
 from typing import Any
@@ -16,9 +17,10 @@
 from passrock.core.checkin import Checkins
 from passrock.core.fleet import Command, Fleet, Machine, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
+from passrock.core.model import Priority
 from passrock.core.placement import Placer, stop_softly
 from passrock.core.renting import Market, plan_rentals, plan_returns
-from passrock.core.reservation import Binding, Claim, Unit, bind
+from passrock.core.reservation import Binding, Claim, Unit, bind, zone_gap
 from passrock.io.clock import steady, time_of_day
 from passrock.io.cloud import CloudClient
 from passrock.io.state import Committed, StateClient, StateError
@@ -26,6 +28,7 @@
 from passrock.settings import Settings
 from passrock.wire.state import Entry, Put, Write
 
+EARLY_ROUND = 0.25  # of the round interval, the least time between two rounds
 HINT_BYTES = 160  # a machine with its images in a hint record, at its longest
 
 
@@ -64,6 +67,7 @@
         self.rentals.on_change = self.poke
         self.ready = False
         self.round_due = 0.0
+        self.round_at = -math.inf
         self.recorded: dict[str, Any] = {}
         self.tasks: list[asyncio.Task[None]] = []
         self._poked = asyncio.Event()
@@ -150,6 +154,7 @@
                 self.pump.removed.discard(job_id)
             elif job_id not in self.book.jobs and job_id not in self.pump.removed:
                 job = self.book.load(entry.value, entry.version, steady(), time_of_day())
+                self.round_early()
                 info("job_new", job=job_id, team=job.spec.team, kind=job.spec.kind, tasks=job.spec.tasks)
                 self.poke()
         elif key.startswith(keys.CANCEL) and entry is not None:
@@ -160,6 +165,11 @@
                 self.pump.wake.set()
                 self.poke()
 
+    def round_early(self) -> None:
+        """Demand or machines changed: the next round comes early, though not at once again."""
+        early = self.round_at + self.settings.operator.round_s * EARLY_ROUND
+        self.round_due = min(self.round_due, max(steady(), early))
+
     def poke(self) -> None:
         """Something changed: look again soon."""
         self._poked.set()
@@ -192,6 +202,7 @@
             job = live.job.spec.id
             info("task_end", job=job, task=live.index, attempt=live.attempt, machine=machine.name, why=why)
         if not was_up:
+            self.round_early()
             info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
         if self.checkins.changed or not was_up:
             self.tick()
@@ -220,6 +231,7 @@
         """The cloud has confirmed that a machine is gone."""
         lost = self.book.machine_gone(name, steady())
         self.bound.pop(name, None)
+        self.round_early()
         info("machine_gone", machine=name, tasks=lost)
         self.pump.wake.set()
         self.poke()
@@ -289,6 +301,12 @@
 
     def _rent(self, queue: list[Job], now: float) -> None:
         wanted = plan_rentals(queue, self.book, self.fleet, self.settings.teams, self.market, self.placer.aims, now)
+        production, room = self._zone_rooms()
+        gap = zone_gap(production, room, self.settings.zones)
+        if gap > 0:
+            offer = self.market.buffer_offer(room, now)
+            if offer is not None and offer not in wanted:
+                wanted[offer] = math.ceil(gap / self.market.types[offer.type].size.gpus)
         for offer, count in wanted.items():
             self.rentals.rent(offer, count)
         if queue:
@@ -298,14 +316,35 @@
             name: max(operator.idle_floor_s, operator.idle_boot_ratio * kind.boot_s)
             for name, kind in self.market.types.items()
         }
-        for machine in plan_returns(self.fleet, self.book, self.market, set(), patience, now):
+        for machine in plan_returns(self.fleet, self.book, self.market, patience, now):
+            room[machine.zone] -= machine.type.size.gpus
+            if not machine.spot and zone_gap(production, room, self.settings.zones) > 0:
+                room[machine.zone] += machine.type.size.gpus  # part of the buffer for a lost zone
+                continue
             info("machine_return", machine=machine.name)
             self.rentals.delete(machine)
 
+    def _zone_rooms(self) -> tuple[dict[str, float], dict[str, float]]:
+        """GPUs of production work in each zone, and those it could take there: idle ones or lent ones."""
+        production = dict.fromkeys(self.settings.zones, 0.0)
+        room = dict.fromkeys(self.settings.zones, 0.0)
+        for machine in self.fleet.machines.values():
+            if machine.deleting or machine.spot or machine.zone not in room:
+                continue
+            mine = sum(
+                live.job.spec.need.gpus
+                for live in self.book.held.get(machine.name, {}).values()
+                if live.job.spec.priority is Priority.PRODUCTION
+            )
+            production[machine.zone] += mine * self.settings.operator.buffer_share
+            room[machine.zone] += machine.type.size.gpus - mine
+        return production, room
+
     # -- the binding round -----------------------------------------------------------------------
 
     def _round(self, now: float) -> None:
         self.round_due = now + self.settings.operator.round_s
+        self.round_at = now
         result = self._bind(now)
         self.bound.clear()
         self.bound.update(result.owner)
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -68,11 +68,11 @@
 
     # -- order ---------------------------------------------------------------------------
 
-    def demand(self, team: str) -> Amount:
-        """What all unfinished jobs of a team ask for."""
+    def demand(self, team: str, least: Priority = Priority.LOW) -> Amount:
+        """What all unfinished jobs of a team ask for, from some priority up."""
         total = NOTHING
         for job in self.book.jobs.values():
-            if job.spec.team == team and not job.cancelled:
+            if job.spec.team == team and job.spec.priority >= least and not job.cancelled:
                 total = total + job.spec.need.times(job.spec.tasks - job.done_count)
         return total
 
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -67,6 +67,16 @@
         ]
         return sorted(open_ones, key=lambda offer: (self.price(offer), offer.zone))
 
+    def buffer_offer(self, room: dict[str, float], now: float) -> Offer | None:
+        """The cheapest ordinary machine for the buffer, in the zone with the least room."""
+        offers = [
+            Offer(kind.name, zone, False)
+            for kind in self.types.values()
+            for zone in kind.zones
+            if kind.size.gpus > 0 and self.refused.get(Offer(kind.name, zone, False), 0.0) <= now
+        ]
+        return min(offers, key=lambda offer: (room.get(offer.zone, 0.0), self.price(offer), offer.zone), default=None)
+
     def lead_time(self, type_name: str, job: Job) -> float:
         """Seconds from the request for a machine until a task of the job runs on it."""
         kind = self.types[type_name]
@@ -190,9 +200,7 @@
     return added
 
 
-def plan_returns(
-    fleet: Fleet, book: Book, market: Market, kept: set[str], patience: dict[str, float], now: float
-) -> list[Machine]:
+def plan_returns(fleet: Fleet, book: Book, market: Market, patience: dict[str, float], now: float) -> list[Machine]:
     """Idle machines that have waited long enough for work.
 
     A cheap spot machine may wait longer than a dear one, in the ratio of their prices, and no
@@ -200,7 +208,7 @@
     """
     going = []
     for machine in fleet.machines.values():
-        if not machine.up or machine.deleting or machine.idle_since is None or machine.name in kept:
+        if not machine.up or machine.deleting or machine.idle_since is None:
             continue
         if machine.name in book.held:
             continue
--- a/src/passrock/core/reservation.py
+++ b/src/passrock/core/reservation.py
@@ -116,3 +116,15 @@
         sizes = parts(mine, zones)
         result.thin[claim.team] = sorted(zones, key=lambda zone: (sizes[zone], zone))
     return result
+
+
+def zone_gap(production: dict[str, float], room: dict[str, float], zones: tuple[str, ...]) -> float:
+    """How much room is lacking for production work, should the worst zone be lost.
+
+    Room counts where it is idle or lent to work that gives way. All teams lose a zone at the same
+    time, so this is judged over all reservations together.
+    """
+    if len(zones) < 2:
+        return 0.0
+    total = sum(room.values())
+    return max(0.0, *(production.get(zone, 0.0) - (total - room.get(zone, 0.0)) for zone in zones))
--- a/src/passrock/settings.py
+++ b/src/passrock/settings.py
@@ -44,7 +44,7 @@
     silent_ratio: float = 0.36
     round_s: float = 20.0
     alpha_extra: float = 0.1
-    buffer_share: float = 0.0
+    buffer_share: float = 1.0
     idle_boot_ratio: float = 0.4
     idle_floor_s: float = 8.0
     socket_share: float = 0.85
--- /dev/null
+++ b/tests/tables.py
@@ -0,0 +1,85 @@
+"""Small builders for the tables of cases."""
+
+from passrock.core.aims import Aims, Objective
+from passrock.core.fleet import Fleet, Report, TaskReport, TaskState
+from passrock.core.jobs import Book, new_record
+from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
+from passrock.core.placement import Placer
+
+BOX = MachineType("box", Amount(16, 2, 64), 100.0, 1.0, 5.0, 1.5, 10.0, ("a", "b", "c"))
+TEAMS = {name: Team(name, 0, 0, 4, 8) for name in ("t0", "t1")}
+AIMS = Aims(
+    (
+        Objective("wait", "soon", 30.0, 0.9),
+        Objective("finished", "soon", 200.0, 0.9),
+        Objective("wait", "late", 300, 0.9),
+    )
+)
+TERM = 5
+
+
+def spec(number=1, **fields):
+    base = {
+        "id": f"wk-{number}",
+        "job_class": "x",
+        "team": "t0",
+        "kind": Kind.ARRAY,
+        "priority": Priority.NORMAL,
+        "tasks": 1,
+        "need": Amount(5, 1, 20),
+        "image": "img",
+        "image_gb": 2.0,
+        "types": None,
+        "zone": None,
+        "one_zone": False,
+        "spread": False,
+        "spot": False,
+        "estimate": 10.0,
+        "checkpoint": 0.0,
+        "save": 0.0,
+        "deadline": None,
+    }
+    return Spec(**{**base, **fields})
+
+
+class Desk:
+    """A book, a fleet and a placer, without a controller."""
+
+    def __init__(self, machines=(("m1", "a", False),), chunk=50):
+        self.book = Book(chunk)
+        self.fleet = Fleet(1.0, 10.0, 0.36, 0.0)
+        self.placer = Placer(self.book, self.fleet, TEAMS, {}, AIMS)
+        self.stamp = 0
+        for name, zone, spot in machines:
+            self.up(name, zone, spot)
+
+    def up(self, name, zone="a", spot=False, now=0.0):
+        machine = self.fleet.observe(report(name, zone=zone, spot=spot), BOX, now)
+        return machine
+
+    def job(self, number=1, at=0.0, **fields):
+        self.stamp += 1
+        return self.book.load(new_record(spec(number, **fields), at), self.stamp, at, at)
+
+    def commit(self):
+        """Everything is committed."""
+        for job in self.book.jobs.values():
+            for chunk in job.chunks.values():
+                chunk.committed = chunk.version
+        self.book.dirty.clear()
+
+    def refresh(self, now):
+        """Every machine has just reported, and nothing runs there."""
+        for machine in self.fleet.machines.values():
+            machine.heard, machine.used = now, NOTHING
+
+    def run(self, now=0.0):
+        return [(live.job.spec.id, live.index, live.machine) for live in self.placer.run(now)]
+
+
+def report(machine="m1", session=1, seq=1, token=TERM, tasks=(), zone="a", spot=False, notice=None):
+    return Report(machine, "10.1.0.1:9000", "box", zone, spot, session, seq, token, notice, list(tasks))
+
+
+def row(job="wk-1", index=0, attempt=1, state=TaskState.RUNNING, why="", saved=False):
+    return TaskReport(job, index, attempt, state, why, saved)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,349 @@
+"""Tables of cases for evidence, check-ins, placement, gangs and stops."""
+
+import pytest
+
+from passrock.core.admission import Limiter, fault
+from passrock.core.budget import Budget
+from passrock.core.checkin import Checkins
+from passrock.core.fleet import Op, TaskState
+from passrock.core.jobs import Book, chunk_tasks, new_record
+from passrock.core.model import Amount, Kind, Priority, Team
+from passrock.core.placement import stop_softly
+from passrock.core.renting import Market, Offer, plan_rentals, plan_returns
+from tables import AIMS, BOX, TEAMS, TERM, Desk, report, row, spec
+
+EXITED = TaskState.EXITED
+
+
+def placed_desk(**fields):
+    """One job placed and committed on m1, its launch sent in answer to report 1."""
+    desk = Desk()
+    job = desk.job(**fields)
+    desk.run()
+    desk.commit()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    commands = handle(desk, checkins, seq=2)
+    assert [c.op for c in commands] == [Op.START] * job.live_count
+    return desk, job, checkins
+
+
+def handle(desk, checkins, now=1.0, launch=True, **fields):
+    told = report(**fields)
+    machine = desk.fleet.observe(told, BOX, now)
+    return [] if machine is None else checkins.handle(machine, told, now, launch)
+
+
+# What a report shows -> commands, and whether the attempt still counts as possibly there.
+REPORTS = [
+    ("running", {"seq": 3, "tasks": [row()]}, [], True),
+    ("not listed, later report: the launch was dropped, so again", {"seq": 3}, [Op.START], True),
+    ("an older report is nothing new", {"seq": 1}, [], True),
+    ("a later session has forgotten it", {"session": 2, "seq": 3}, [], False),
+    ("completed", {"seq": 3, "tasks": [row(state=EXITED, why="done")]}, [], False),
+    ("stopped", {"seq": 3, "tasks": [row(state=EXITED, why="stopped")]}, [], False),
+    ("another attempt runs there", {"seq": 3, "tasks": [row(attempt=9)]}, [Op.STOP, Op.START], True),
+    ("a job nobody knows", {"seq": 3, "tasks": [row(), row(job="wk-99")]}, [Op.STOP], True),
+]
+
+
+@pytest.mark.parametrize(("name", "told", "ops", "there"), REPORTS, ids=[case[0] for case in REPORTS])
+def test_reports(name, told, ops, there):
+    desk, job, checkins = placed_desk()
+    assert [c.op for c in handle(desk, checkins, **told)] == ops
+    assert (job.live_count == 1) is there
+
+
+def test_absence_needs_a_report_of_this_term():
+    """A held-back report of an older term proves nothing: a former leader may have launched after it."""
+    desk, job, checkins = placed_desk()
+    desk.book.cancel(job)
+    handle(desk, checkins, seq=3, token=TERM - 1)
+    assert job.live_count == 1
+    handle(desk, checkins, seq=4, token=TERM)
+    assert job.live_count == 0 and "wk-1" in desk.book.finishing
+
+
+def test_no_launch_before_the_commit_nor_without_firm_leadership():
+    desk = Desk()
+    desk.job()
+    desk.run()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    assert handle(desk, checkins, seq=2) == []
+    desk.commit()
+    assert handle(desk, checkins, seq=3, launch=False) == []
+    assert [c.op for c in handle(desk, checkins, seq=4)] == [Op.START]
+
+
+def test_forget_only_what_is_committed():
+    desk, _, checkins = placed_desk()
+    done = [row(state=EXITED, why="done")]
+    assert handle(desk, checkins, seq=3, tasks=done) == []
+    desk.commit()
+    assert [c.op for c in handle(desk, checkins, seq=4, tasks=done)] == [Op.FORGET]
+
+
+def test_gang_ends_whole_and_starts_whole():
+    desk = Desk([(f"m{i}", "a", False) for i in range(3)])
+    job = desk.job(kind=Kind.GANG, tasks=3, need=Amount(10, 2, 50))
+    assert len(desk.run()) == 3
+    assert {live.attempt for live in job.lives()} == {1}
+    for live in job.lives():
+        live.seen = True
+    first = next(job.lives())
+    desk.book.gone(first, 5.0)
+    assert [live.stop for live in job.lives()] == [0.0, 0.0]
+    assert desk.run(6.0) == []  # not before every task of the old attempt is gone
+    for live in list(job.lives()):
+        desk.book.gone(live, 7.0)
+    desk.refresh(7.0)
+    assert len(desk.run(7.0)) == 3
+    assert {live.attempt for live in job.lives()} == {2}
+
+
+def test_impatient_gang_task_waits_on():
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    job = desk.job(kind=Kind.GANG, tasks=2, need=Amount(10, 2, 50))
+    desk.run()
+    desk.commit()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    handle(desk, checkins, seq=2)
+    index = next(live.index for live in job.lives() if live.machine == "m1")
+    alone = [row(index=index, state=EXITED, why="alone")]
+    assert [c.op for c in handle(desk, checkins, seq=3, tasks=alone)] == [Op.FORGET, Op.START]
+    assert job.live_count == 2
+    next(live for live in job.lives() if live.machine == "m2").stop = 0.0
+    next(live for live in job.lives() if live.machine == "m1").stop = 0.0
+    assert [c.op for c in handle(desk, checkins, seq=4, tasks=alone)] == []
+    assert job.live_count == 0  # this one ended, and the other was never launched
+
+
+# job fields, machines (name, zone, spot), tasks expected to be placed
+PLACES = [
+    ({"tasks": 3}, [("m1", "a", False)], 2),
+    ({"tasks": 3, "kind": Kind.GANG}, [("m1", "a", False)], 0),
+    ({"zone": "b"}, [("m1", "a", False)], 0),
+    ({"types": ("other",)}, [("m1", "a", False)], 0),
+    ({}, [("m1", "a", True)], 0),
+    ({"spot": True}, [("m1", "a", True)], 1),
+    ({"tasks": 2, "kind": Kind.SERVICE, "spread": True}, [("m1", "a", False)], 1),
+    ({"tasks": 2, "kind": Kind.SERVICE, "spread": True}, [("m1", "a", False), ("m2", "b", False)], 2),
+    ({"tasks": 3, "kind": Kind.GANG, "one_zone": True}, [("m1", "a", False), ("m2", "b", False)], 0),
+    ({"tasks": 3, "kind": Kind.GANG}, [("m1", "a", False), ("m2", "b", False)], 3),
+    ({"tasks": 3, "one_zone": True}, [("m1", "a", False), ("m2", "b", False)], 2),
+    ({"tasks": 20}, [(f"m{i}", "a", False) for i in range(9)], 8),  # the team's limit
+    ({"tasks": 9, "kind": Kind.GANG}, [(f"m{i}", "a", False) for i in range(9)], 0),
+]
+
+
+@pytest.mark.parametrize(("fields", "machines", "count"), PLACES)
+def test_placement(fields, machines, count):
+    desk = Desk(machines)
+    desk.job(**fields)
+    assert len(desk.run()) == count
+
+
+def test_strays_count_against_limits_and_their_task():
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    desk.job()
+    desk.fleet.machines["m2"].strays = {("wk-1", 0): Amount(5, 1, 20)}
+    assert desk.run() == []
+    desk.fleet.machines["m2"].strays = {}
+    assert desk.run() == [("wk-1", 0, "m1")]
+
+
+def test_images_and_packing_decide():
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    desk.fleet.machines["m2"].images["img"] = 2.0
+    desk.job(1, image_gb=20.0)
+    assert desk.run() == [("wk-1", 0, "m2")]
+    desk.job(2, image="other", team="t1")
+    assert desk.run() == [("wk-2", 0, "m2")]  # the half-full one
+
+
+def test_queue_order():
+    desk = Desk()
+    desk.job(1, team="t1", tasks=6, job_class="late", at=0.0)
+    desk.job(2, job_class="late", at=1.0)
+    desk.job(3, job_class="soon", at=2.0)
+    desk.job(4, priority=Priority.PRODUCTION, at=3.0)
+    desk.placer.find_guaranteed()
+    assert [job.spec.id for job in desk.placer.queue(5.0)] == ["wk-4", "wk-3", "wk-2", "wk-1"]
+
+
+@pytest.mark.parametrize(
+    ("victim", "job", "displaced"),
+    [
+        ({"priority": Priority.LOW}, {"priority": Priority.PRODUCTION}, True),
+        ({"priority": Priority.PRODUCTION}, {"priority": Priority.PRODUCTION}, False),
+        ({"priority": Priority.HIGH}, {"priority": Priority.NORMAL}, False),
+        ({"tasks": 6, "team": "t1"}, {"priority": Priority.NORMAL, "team": "t0"}, True),  # beyond t1's guarantee
+        ({"tasks": 6, "team": "t0"}, {"priority": Priority.NORMAL, "team": "t0"}, False),
+    ],
+)
+def test_preemption_has_reasons(victim, job, displaced):
+    desk = Desk()
+    desk.job(1, need=Amount(5, 1, 20), **victim)
+    desk.run()
+    waiting = desk.job(2, at=1.0, **{"need": Amount(5, 1, 20), **job})
+    desk.job(3, at=0.5, team="t1", need=Amount(5, 1, 20), tasks=1, priority=victim.get("priority", Priority.NORMAL))
+    desk.run(1.0)
+    if waiting.live_count:
+        desk.book.gone(next(waiting.lives()), 1.0)
+    desk.fleet.machines["m1"].used = BOX.size
+    desk.placer.run(1.0)
+    assert bool(desk.placer.make_room(waiting, 1.0, 5.0)) is displaced
+
+
+def test_stops_save_when_there_is_something_to_save():
+    desk, job, checkins = placed_desk(checkpoint=5.0, save=3.0)
+    live = next(job.lives())
+    handle(desk, checkins, seq=3, tasks=[row()])
+    stop_softly(live, 2.0, 6.0)
+    assert [(c.op, c.grace) for c in handle(desk, checkins, seq=4, tasks=[row()])] == [(Op.STOP, 6.0)]
+    saving = [row(state=TaskState.SAVING)]
+    assert handle(desk, checkins, seq=5, tasks=saving) == []  # a second stop would end the saving
+    desk.book.cancel(job)
+    assert [(c.op, c.grace) for c in handle(desk, checkins, seq=6, tasks=saving)] == [(Op.STOP, 0.0)]
+
+
+@pytest.mark.parametrize(
+    ("answered", "fenced", "now", "over"),
+    [(0.0, None, 100.0, False), (0.0, 0.0, 10.5, False), (0.0, 0.0, 11.1, True), (0.0, 50.0, 60.0, False)],
+)
+def test_lease_evidence(answered, fenced, now, over):
+    desk = Desk()
+    machine = desk.fleet.machines["m1"]
+    machine.answered = answered
+    assert desk.fleet.lease_over(machine, now, fenced) is over
+
+
+def test_faulty_machine_or_faulty_job():
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    job = desk.job()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    for seq in (2, 4):
+        desk.refresh(float(seq))
+        desk.run(float(seq))
+        desk.commit()
+        live = next(job.lives())
+        handle(desk, checkins, machine=live.machine, seq=seq, now=float(seq))
+        failed = [row(attempt=live.attempt, state=EXITED, why="error")]
+        handle(desk, checkins, machine=live.machine, seq=seq + 1, now=float(seq), tasks=failed)
+    assert job.avoid == {"m1", "m2"} and job.not_before > 4.0  # failed on both: the job waits longer and longer
+    assert all(machine.blocked_until > 4.0 for machine in desk.fleet.machines.values())
+
+
+def test_huge_array_stays_inside_record_sizes():
+    size = chunk_tasks(4096)
+    book = Book(size)
+    job = book.load(new_record(spec(tasks=100_000), 0.0), 1, 0.0, 0.0)
+    desk = Desk()
+    machine = desk.fleet.machines["m1"]
+    for index in job.next_waiting(3 * size):
+        book.start(job, index, machine, job.attempt_for(index), 0.0)
+    job.advance()
+    assert job.next_waiting(1) == [3 * size]
+    assert max(len(str(chunk.encode())) for chunk in job.chunks.values()) < 4096 - 1000
+    assert len(job.chunks) == 3 + 1 or len(job.chunks) == 3
+    for live in list(job.lives()):
+        book.completed(live)
+    assert (job.done_count, job.live_count, job.waiting) == (3 * size, 0, 100_000 - 3 * size)
+
+
+# waiting jobs -> machines to rent
+RENTALS = [
+    ([{"tasks": 3}], {Offer("box", "a", False): 2}),
+    ([{"tasks": 3, "spot": True}], {Offer("box", "a", True): 2}),
+    ([{"tasks": 3, "kind": Kind.GANG, "one_zone": True}], {Offer("box", "a", False): 2}),
+    ([{"tasks": 20}], {Offer("box", "a", False): 4}),  # up to the team's limit
+    ([{"zone": "b"}], {Offer("box", "b", False): 1}),
+]
+
+
+@pytest.mark.parametrize(("jobs", "wanted"), RENTALS)
+def test_rentals(jobs, wanted):
+    desk = Desk([])
+    for number, fields in enumerate(jobs):
+        desk.job(number, **fields)
+    queue = desk.placer.queue(0.0)
+    market = Market({"box": BOX})
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 0.0) == wanted
+    for offer in wanted:  # machines on their way are enough
+        for i in range(wanted[offer]):
+            desk.fleet.add(f"new{i}", BOX, offer.zone, offer.spot, 0.0)
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 0.0) == {}
+
+
+def test_refused_offers_rest_and_dear_ones_wait_until_needed():
+    desk = Desk([])
+    desk.job(1, spot=True, job_class="late")
+    market = Market({"box": BOX})
+    for zone in BOX.zones:
+        market.refuse(Offer("box", zone, True), 50.0)
+    queue = desk.placer.queue(0.0)
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 0.0) == {}
+    late = plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 285.0)
+    assert late == {Offer("box", "a", True): 1}  # no longer refused by then
+    for zone in BOX.zones:
+        market.refuse(Offer("box", zone, True), 500.0)
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 285.0) == {Offer("box", "a", False): 1}
+
+
+def test_returns():
+    desk = Desk([("m1", "a", False), ("m2", "a", True), ("m3", "a", False)])
+    desk.job()
+    desk.run()
+    for machine in desk.fleet.machines.values():
+        machine.since = -100.0
+    market, patience = Market({"box": BOX}), {"box": 10.0}
+    going = [m.name for m in plan_returns(desk.fleet, desk.book, market, patience, 12.0)]
+    assert len(going) == 1 and going[0] in ("m1", "m3")  # the busy one and the cheap one stay
+    assert len(plan_returns(desk.fleet, desk.book, market, patience, 40.0)) == 2
+
+
+@pytest.mark.parametrize(
+    ("fields", "refused"),
+    [
+        ({}, False),
+        ({"team": "nobody"}, True),
+        ({"need": Amount(17, 1, 1)}, True),
+        ({"types": ("other",)}, True),
+        ({"zone": "z"}, True),
+        ({"tasks": 100}, False),
+        ({"tasks": 9, "kind": Kind.GANG}, True),
+        ({"tasks": 9, "kind": Kind.SERVICE}, True),
+        ({"tasks": 8, "kind": Kind.GANG}, False),
+    ],
+)
+def test_jobs_that_can_never_run(fields, refused):
+    assert (fault(spec(**fields), TEAMS, {"box": BOX}) is not None) is refused
+
+
+def test_limits_of_zero_are_none():
+    assert Team("t", 0, 0, 0, 0).within_limit(Amount(1e6, 1e6, 0))
+    assert not Team("t", 0, 0, 0, 0).within_guarantee(Amount(1, 0, 0))
+
+
+def test_limiter_follows_measured_times():
+    limiter = Limiter(start=4, least=2, most=64, slack=0.01)
+    assert [limiter.enter() for _ in range(5)] == [True] * 4 + [False]
+    for _ in range(4):
+        limiter.leave(0.01, False)
+    for _ in range(400):
+        while limiter.enter():
+            pass
+        while limiter.busy:
+            limiter.leave(0.01, False)
+    assert limiter.limit == 64
+    for _ in range(200):
+        limiter.enter()
+        limiter.leave(1.0, False)
+    assert limiter.limit == 2
+    assert 1 <= limiter.retry_after() <= 30
+
+
+def test_budget_spreads_what_exceeds_the_rate():
+    budget = Budget(10.0, 5.0)
+    waits = [budget.take(0.0, 1) for _ in range(8)]
+    assert waits[:5] == [0.0] * 5 and waits[5:] == pytest.approx([0.1, 0.2, 0.3])
+    assert budget.take(10.0, 1) == 0.0
