--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -163,7 +163,6 @@
 
     def __init__(self, seed, zones=("a", "b", "c"), node_count=3, machines=6, late=0.0, lost=0.0):
         self.rng = random.Random(seed)
-        use_wall_clock(asyncio.get_running_loop().time)
         self.zones = zones
         self.node_count = node_count
         self.limits = dict(LIMITS)
@@ -183,11 +182,16 @@
         self.poll_failures = 0
         for i in range(machines):
             self.cloud.add("box", zones[i % len(zones)], False, boot=0.1)
-        for number in range(node_count):
-            self.nodes[f"n{number}"] = SimNode(self, number)
+        self.start_nodes()
         self.spawn(self.state.tick())
         self.spawn(self._check())
 
+    def start_nodes(self):
+        """Controllers in this process, in virtual time."""
+        use_wall_clock(asyncio.get_running_loop().time)
+        for number in range(self.node_count):
+            self.nodes[f"n{number}"] = SimNode(self, number)
+
     def now(self):
         return asyncio.get_running_loop().time()
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,24 +7,12 @@
 
 from passrock.cli import main
 from passrock.settings import Operator, SettingsError, parse_settings, read_settings
+from standins.loopback import toml
 from standins.world import node_table
 
 ROOT = Path(__file__).parent.parent
 
 
-def toml(table, path=()):
-    """Just enough TOML for a settings table."""
-    lines, later = [], []
-    for key, value in table.items():
-        if isinstance(value, dict):
-            later.append(f"[{'.'.join((*path, key))}]\n" + toml(value, (*path, key)))
-        elif isinstance(value, list) and value and isinstance(value[0], dict):
-            later += [f"[[{'.'.join((*path, key))}]]\n" + toml(row, (*path, key)) for row in value]
-        else:
-            lines.append(f"{key} = {repr(value).replace(chr(39), chr(34))}")
-    return "\n".join([*lines, *later]) + "\n"
-
-
 def change(table, path, value):
     *way, last = path.split(".")
     for part in way:
