Time displacement by the fetches of the very machines chosen

Cause: fraud-train waited until only machines with its image could still make it, and then cold ones were chosen.

--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -293,7 +293,7 @@
 
     def _preempt(self, queue: list[Job], now: float) -> None:
         for job in queue:
-            if now - job.order < self.settings.report_s or not self.placer.worth_preempting(job, now):
+            if now - job.order < self.settings.report_s or not self.placer.displaces(job):
                 continue
             for live in self.placer.make_room(job, now, self.settings.lease_s):
                 info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from passrock.core.aims import Aims
+from passrock.core.aims import PAST, Aims
 from passrock.core.fleet import Fleet, Machine, TaskState
 from passrock.core.jobs import Book, Job, Live
 from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
@@ -279,61 +280,56 @@
         count = victim.job.live_count if spec.kind is Kind.GANG else 1
         return (lost + restart) * count * max(1.0, spec.need.gpus)
 
-    def worth_preempting(self, job: Job, now: float) -> bool:
-        """Whether displacing other work now lets the job meet an aim that waiting would miss.
-
-        Under overload, displacing early and for aims that were lost already made most machines fetch
-        images instead of running tasks.
-        """
-        if job.spec.priority is Priority.PRODUCTION:
-            return True
-        guaranteed = job.spec.id in self.guaranteed
-        if job.spec.priority < Priority.HIGH and not guaranteed:
-            return False
-        spec = job.spec
-        waits = sorted(
-            machine.fetch_wait(spec)
-            for machine in self.usable
-            if spec.allows(machine.type.name, machine.zone, machine.spot)
-        )
-        needed = spec.tasks if spec.kind is Kind.GANG else 1
-        if len(waits) < needed:
-            return False
-        slack = self.aims.due(job, now, guaranteed) - now - waits[needed - 1] - self.patience
-        return 0 <= slack <= self.fleet.lease_s
+    def displaces(self, job: Job) -> bool:
+        """Whether the job's class of standing displaces others at all."""
+        return job.spec.priority >= Priority.HIGH or job.spec.id in self.guaranteed
 
     def make_room(self, job: Job, now: float, patience: float) -> list[Live]:
-        """Choose victims so that the job's waiting tasks fit; returns the attempts to stop."""
+        """Choose victims so that the job's waiting tasks fit; returns the attempts to stop.
+
+        Production takes room at once. Other work is displaced only when that lets the job meet an
+        aim that waiting would miss: under overload, displacing early and for aims that were lost
+        already made most machines fetch images instead of running tasks.
+        """
         spec = job.spec
         if any(hold.job == spec.id for hold in self.holds.values()):
             return []  # earlier victims are still on their way out
+        plan = self.plan_room(job, now, math.inf)
+        if spec.priority is not Priority.PRODUCTION:
+            left = self.aims.due(job, now, spec.id in self.guaranteed) - now - self.patience
+            if fetch_of(job, plan) > left:
+                plan = self.plan_room(job, now, left)
+            aimless = left > PAST / 2  # no aim is left to meet: only a guarantee still counts
+            if spec.id not in self.guaranteed if aimless else fetch_of(job, plan) + self.fleet.lease_s < left:
+                return []  # room may still come by itself
+        victims: dict[tuple[str, int], Live] = {}
+        for machine, stopped in plan:
+            self.holds[machine.name] = Hold(spec.id, now + patience)
+            for live in stopped:
+                mates = live.job.lives() if live.job.spec.kind is Kind.GANG else [live]
+                victims.update({mate.key: mate for mate in mates})
+        return list(victims.values())
+
+    def plan_room(self, job: Job, now: float, most_fetch: float) -> list[tuple[Machine, list[Live]]]:
+        """Machines for the job's waiting tasks, with the victims on each; empty when there are none."""
+        spec = job.spec
         wanted = spec.tasks if spec.kind is Kind.GANG else len(job.next_waiting(ARRAY_BATCH))
         while wanted > 0 and not self.allowed_now(job, wanted):
             wanted = 0 if spec.kind is Kind.GANG else wanted - 1
-        if wanted == 0:
-            return []
         counts = {} if spec.kind is Kind.GANG else job.zone_counts(self.fleet)
         best: tuple[float, list[tuple[Machine, list[Live]]]] | None = None
         zones: Iterable[str | None] = [None]
         if spec.one_zone:
             zones = [self.fixed_zone(job, counts)] if counts else self.gang_zones(job)
-        for zone in zones:
-            plan = self.cheapest(job, zone, dict(counts), wanted, now)
+        for zone in zones if wanted else ():
+            plan = self.cheapest(job, zone, dict(counts), wanted, now, most_fetch)
             whole = spec.kind is not Kind.GANG or len(plan[1]) == wanted
             if plan[1] and whole and (best is None or plan[0] < best[0]):
                 best = plan
-        if best is None:
-            return []
-        victims: dict[tuple[str, int], Live] = {}
-        for machine, stopped in best[1]:
-            self.holds[machine.name] = Hold(spec.id, now + patience)
-            for live in stopped:
-                mates = live.job.lives() if live.job.spec.kind is Kind.GANG else [live]
-                victims.update({mate.key: mate for mate in mates})
-        return list(victims.values())
+        return best[1] if best is not None else []
 
     def cheapest(
-        self, job: Job, zone: str | None, counts: dict[str, int], wanted: int, now: float
+        self, job: Job, zone: str | None, counts: dict[str, int], wanted: int, now: float, most_fetch: float
     ) -> tuple[float, list[tuple[Machine, list[Live]]]]:
         """Machines with the victims on each, for as many of ``wanted`` tasks as can be had."""
         spec = job.spec
@@ -343,6 +339,8 @@
                 continue
             if (zone is not None and machine.zone != zone) or machine.name in job.avoid:
                 continue
+            if machine.fetch_wait(spec) > most_fetch:
+                continue
             found = self.victims(job, machine, now)
             if found is not None:
                 options.append((found[0] + machine.fetch_wait(spec), machine.name, machine, found[1]))
@@ -385,6 +383,11 @@
         return (total, stopped) if need.fits(room) else None
 
 
+def fetch_of(job: Job, plan: list[tuple[Machine, list[Live]]]) -> float:
+    """The longest wait for the job's image among the machines of a plan."""
+    return max((machine.fetch_wait(job.spec) for machine, _ in plan), default=0.0)
+
+
 def fetch_time(spec: Spec, kind: MachineType) -> float:
     """Seconds to fetch the job's image on a machine without it."""
     return spec.image_gb / kind.fetch_rate if kind.fetch_rate > 0 else 0.0
