Workers are kept alive when all controllers restart while the state service is away

Now a worker is renewed with its own token when every controller says that it does not lead, knows no higher term and sees the service down.

--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -65,6 +65,25 @@
                 votes += 1
         return votes * 2 > self.settings.nodes
 
+    def may_care(self, token: int) -> bool:
+        """Whether a worker with this token may be kept alive although nobody leads.
+
+        When all controllers restart while the state service is away, none knows a term and every task
+        would end with its worker's lease. Renewing with the worker's own token, and nothing else, is
+        safe while every single controller says that it does not lead, knows no higher term and sees
+        the service down: a majority is not enough, since those that restarted have forgotten what
+        they acknowledged. A later leader's fence outlasts these renewals like those of a last leader.
+        """
+        now = steady()
+        if self.leading or self.peers is None or token < self.known_term or token == 0:
+            return False
+        if not self.state.down(now, self.ttl / 4):
+            return False
+        answers = self.peers.answers(now - self._support_s)
+        if len(answers) + 1 < self.settings.nodes:
+            return False
+        return all(h.state_down and not h.leading and h.term <= token for h, _ in answers)
+
     def leader(self) -> str | None:
         """The node that leads, as far as is known here."""
         entry = self.replica.get(keys.LEADER)
@@ -78,7 +97,7 @@
         return Hello(
             node=self.settings.node,
             term=self.known_term,
-            leader=self.leader(),
+            leading=self.leading,
             state_down=self.state.down(steady(), self.ttl / 4),
             has_read=self.replica.loaded,
         )
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -118,6 +118,8 @@
             return Response(400, user_wire.error_answer(str(problem)))
         self.leadership.saw_term(report.token)
         if not self.leadership.may_renew():
+            if self.leadership.may_care(report.token):
+                return Response(200, worker_wire.answer(report.token, []))
             leader = self.leadership.leader()
             return Response(421, worker_wire.redirect(leader if leader != self.settings.node else None))
         if self.term is None:
--- a/src/passrock/io/peers.py
+++ b/src/passrock/io/peers.py
@@ -17,11 +17,11 @@
 
 
 class Hello(msgspec.Struct, frozen=True):
-    """A controller's view: the highest term it knows, who leads, and how it sees the state service."""
+    """A controller's view: the highest term it knows, whether it leads, and how it sees the state service."""
 
     node: str
     term: int
-    leader: str | None
+    leading: bool
     state_down: bool
     has_read: bool
 
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -91,3 +91,23 @@
     machine, checker = virtual_loop.run(main())
     assert checker.broken == []
     assert checker.present[("wk-000001", 0)] and machine not in dict(checker.present[("wk-000001", 0)])
+
+
+def test_tasks_outlive_a_restart_of_all_controllers_during_an_outage():
+    """Nobody can lead then, and nobody knows a term: the workers are kept alive with their own token."""
+
+    async def main():
+        world = World(9)
+        for number in range(4):
+            spec = world.job(number, format="service", precedence="prod", loanS=0.0)
+            world.spawn(world.user(spec, cancel_after=1e9))
+        await asyncio.sleep(60.0)
+        starts = world.checker.starts
+        world.spawn(world.outage(40.0))
+        await asyncio.sleep(8.0)
+        await world.crash(list(world.nodes), 3.0)
+        await asyncio.sleep(60.0)
+        return starts, world.checker
+
+    starts, checker = virtual_loop.run(main())
+    assert (checker.starts, checker.broken) == (starts, []) and starts == 4
