--- a/src/passrock/controller/rentals.py
+++ b/src/passrock/controller/rentals.py
@@ -150,6 +150,7 @@
                     continue
                 for name in names:
                     self.leaving.pop(name, None)
+                    self._listed_up.pop(name, None)
                     self.fleet.forget(name, steady())
                     self.on_gone(name)
 
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -193,7 +193,7 @@
             return []
         machine.answered = now
         if machine.notice_until is not None and not machine.deleting:
-            self._drain(machine.name, now)
+            self._drain(machine.name)
         commands = self.checkins.handle(machine, report, now, launch=self.leadership.firm())
         for live in self.checkins.begun:
             after = round(now - live.placed_at, 1) if live.mine else "?"
@@ -221,11 +221,11 @@
         machine.answered = steady()
         return commands
 
-    def _drain(self, name: str, now: float) -> None:
+    def _drain(self, name: str) -> None:
         """The cloud takes the machine soon: let its tasks save, gangs as a whole."""
         for live in list(self.book.held.get(name, {}).values()):
             for mate in list(live.job.lives()) if live.job.spec.kind == "gang" else [live]:
-                stop_softly(mate, now, mate.job.spec.save)
+                stop_softly(mate, mate.job.spec.save)
 
     def machine_gone(self, name: str) -> None:
         """The cloud has confirmed that a machine is gone."""
@@ -277,7 +277,7 @@
                 self.rentals.delete(machine)
             if len(machine.failed_jobs) > 1:
                 info("machine_faulty", machine=machine.name, jobs=len(machine.failed_jobs))
-                self._drain(machine.name, now)
+                self._drain(machine.name)
                 if machine.name not in self.book.held:
                     self.rentals.delete(machine)
         for machine in list(fleet.machines.values()):
@@ -297,7 +297,7 @@
                 continue
             for live in self.placer.make_room(job, now, self.settings.lease_s):
                 info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
-                stop_softly(live, now, self.settings.gang_peer_s)
+                stop_softly(live, self.settings.gang_peer_s)
 
     def _rent(self, queue: list[Job], now: float) -> None:
         wanted = plan_rentals(queue, self.book, self.fleet, self.settings.teams, self.market, self.placer.aims, now)
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -132,17 +132,22 @@
         if path == wire.RUNS_PATH:
             if request.method != "POST":
                 return Response(405, allow="POST")
-            return self._limited(self._submit(request))
+            return self._admit(request)
         rest = path[len(wire.RUNS_PATH) + 1 :]
         if rest.endswith(wire.WITHDRAW_END):
             if request.method != "POST":
                 return Response(405, allow="POST")
-            return self._limited(self._withdraw(rest[: -len(wire.WITHDRAW_END)]))
+            job_id = rest[: -len(wire.WITHDRAW_END)]
+            return self._limited(self._withdraw(job_id)) if wire.is_job_id(job_id) else self._unknown()
         if not rest or "/" in rest:
             return Response(404, wire.error_answer("no such path"))
         if request.method != "GET":
             return Response(405, allow="GET")
-        return self._limited(self._query(rest))
+        return self._limited(self._query(rest)) if wire.is_job_id(rest) else self._unknown()
+
+    @staticmethod
+    def _unknown() -> Response:
+        return Response(404, wire.error_answer("no such job"))
 
     def _limited(self, work: Awaitable[Response]) -> Response | Awaitable[Response]:
         if not self.limiter.enter():
@@ -215,7 +220,8 @@
 
     # -- the requests ---------------------------------------------------------------------------
 
-    async def _submit(self, request: Request) -> Response:
+    def _admit(self, request: Request) -> Response | Awaitable[Response]:
+        """Judge a submission; what is wrong with it is told however busy the node is."""
         try:
             spec = wire.parse_submission(request.body)
         except BadBody as problem:
@@ -230,6 +236,9 @@
             return Response(422, wire.error_answer(problem_text))
         if self.state.writes.wait(steady()) > 1.0:
             return self._refuse(429)
+        return self._limited(self._submit(spec))
+
+    async def _submit(self, spec: Spec) -> Response:
         try:
             async with asyncio.timeout(SUBMIT_PATIENCE_S):
                 try:
@@ -245,23 +254,19 @@
         return Response(200, wire.brief_answer(spec.id, known.status))
 
     async def _query(self, job_id: str) -> Response:
-        if not wire.is_job_id(job_id):
-            return Response(404, wire.error_answer("no such job"))
         known = await self._look_up(job_id)
         if known is None:
-            return Response(404, wire.error_answer("no such job"))
+            return self._unknown()
         done = known.done
         if known.status == DONE and done == 0:
             done = 1
         return Response(200, wire.full_answer(job_id, known.status, done, known.running))
 
     async def _withdraw(self, job_id: str) -> Response:
-        if not wire.is_job_id(job_id):
-            return Response(404, wire.error_answer("no such job"))
         for _ in range(READ_TRIES):
             known = await self._look_up(job_id)
             if known is None:
-                return Response(404, wire.error_answer("no such job"))
+                return self._unknown()
             if known.status in (DONE, CANCELLED):
                 return Response(200, wire.brief_answer(job_id, known.status))
             conditions = {keys.final(job_id): 0, keys.cancel(job_id): 0}
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -13,6 +13,8 @@
 DRIFT = 1.002
 # Slow machines take several times the usual boot time; after this many times one is given up.
 BOOT_PATIENCE = 3.0
+# Names of deleted machines that are remembered: many times what a list could still show.
+DELETED_KEPT = 10_000
 
 
 class TaskState(Enum):
@@ -61,7 +63,6 @@
     """A worker's check-in."""
 
     machine: str
-    addr: str
     type: str
     zone: str
     spot: bool
@@ -77,7 +78,6 @@
     """A machine in the cloud's list."""
 
     name: str
-    addr: str
     type: str
     zone: str
     spot: bool
@@ -196,6 +196,8 @@
         """The cloud has taken the machine: nothing of it is left."""
         self.machines.pop(name, None)
         self.deleted[name] = now
+        while len(self.deleted) > DELETED_KEPT:
+            self.deleted.pop(next(iter(self.deleted)))
 
     def silent(self, machine: Machine, now: float) -> bool:
         """Whether a machine that should report has not been heard of for too long."""
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -91,7 +91,6 @@
     seen: bool = False
     state: TaskState | None = None
     stop: float | None = None
-    stop_at: float = 0.0
     running_since: float | None = None
     placed_at: float = 0.0
 
@@ -142,7 +141,6 @@
         self.errors = 0
         self.avoid: set[str] = set()
         self.waiting_since = order
-        self.breaking = False
 
     def chunk(self, index: int) -> Chunk:
         """The chunk with this task; made when first needed."""
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -393,9 +393,8 @@
     return spec.image_gb / kind.fetch_rate if kind.fetch_rate > 0 else 0.0
 
 
-def stop_softly(live: Live, now: float, patience: float) -> None:
+def stop_softly(live: Live, patience: float) -> None:
     """Ask a task to end, with time to save where it has checkpoints."""
     if live.stop is None:
         can_save = live.job.spec.checkpoint > 0 and live.state is TaskState.RUNNING
         live.stop = max(patience, live.job.spec.save) if can_save else 0.0
-        live.stop_at = now
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -29,7 +29,6 @@
 
     offer: Offer
     room: Amount
-    ordered: bool
 
 
 @dataclass(slots=True)
@@ -107,13 +106,11 @@
     the zone has already.
     """
     bins = [
-        Bin(Offer(m.type.name, m.zone, m.spot), m.type.size, True)
+        Bin(Offer(m.type.name, m.zone, m.spot), m.type.size)
         for m in fleet.machines.values()
         if not m.up and not m.deleting
     ]
-    rooms = [
-        Bin(Offer(m.type.name, m.zone, m.spot), m.room, True) for m in fleet.machines.values() if fleet.usable(m, now)
-    ]
+    rooms = [Bin(Offer(m.type.name, m.zone, m.spot), m.room) for m in fleet.machines.values() if fleet.usable(m, now)]
     used = dict(book.usage)
     wanted: dict[Offer, int] = {}
     for job in queue:
@@ -150,7 +147,7 @@
             offers = market.offers(job, aims, now)
             if not offers:
                 break
-            one = Bin(offers[0], market.types[offers[0].type].size, False)
+            one = Bin(offers[0], market.types[offers[0].type].size)
             added.append(one)
         one.room = one.room - job.spec.need
     return added
@@ -171,7 +168,7 @@
         for one in rooms + bins:
             slots = 0
             room = one.room
-            while slots < missing and _suits(job, Bin(one.offer, room, True), zone):
+            while slots < missing and _suits(job, Bin(one.offer, room), zone):
                 room = room - job.spec.need
                 slots += 1
             if slots:
@@ -192,7 +189,7 @@
         size = market.types[offer.type].size
         missing = best[3]
         while missing:
-            new = Bin(offer, size, False)
+            new = Bin(offer, size)
             while missing and job.spec.need.fits(new.room):
                 new.room = new.room - job.spec.need
                 missing -= 1
--- a/src/passrock/settings.py
+++ b/src/passrock/settings.py
@@ -74,22 +74,17 @@
     cloud: Address
     state: Address
     zones: tuple[str, ...]
-    time_bound_ms: float
     teams: dict[str, Team]
     objectives: tuple[Objective, ...]
     report_s: float
     lease_s: float
-    gang_wait_s: float
     gang_peer_s: float
-    cancel_s: float
     state_rps: float
     state_write_rps: float
     value_bytes: int
     txn_ops: int
     cloud_rps: float
     list_lag_s: float
-    cpu: float
-    mem_mb: float
     fd_limit: int
     operator: Operator = field(default_factory=Operator)
 
@@ -230,22 +225,17 @@
         cloud=read.address(outside, "cloud", "outside."),
         state=read.address(outside, "state", "outside."),
         zones=tuple(zones),
-        time_bound_ms=read.number(deployment, "time_bound_ms", "deployment.", default=0.0),
         teams=teams,
         objectives=tuple(objectives),
         report_s=read.number(workers, "report_s", "deployment.workers.", above=True),
         lease_s=read.number(workers, "lease_s", "deployment.workers.", above=True),
-        gang_wait_s=read.number(workers, "gang_wait_s", "deployment.workers.", above=True),
         gang_peer_s=read.number(workers, "gang_peer_s", "deployment.workers.", above=True),
-        cancel_s=read.number(workers, "cancel_s", "deployment.workers.", above=True),
         state_rps=read.number(state, "rps", "deployment.state.", above=True),
         state_write_rps=read.number(state, "write_rps", "deployment.state.", above=True),
         value_bytes=int(read.number(state, "value_kb", "deployment.state.", low=1.0) * 1024),
         txn_ops=int(read.number(state, "txn_ops", "deployment.state.", low=4)),
         cloud_rps=read.number(cloud, "rps", "deployment.cloud.", above=True),
         list_lag_s=read.number(cloud, "list_lag_s", "deployment.cloud."),
-        cpu=read.number(limits, "cpu", "deployment.resources.", above=True),
-        mem_mb=read.number(limits, "mem_mb", "deployment.resources.", above=True),
         fd_limit=int(read.number(limits, "fd_limit", "deployment.resources.", low=32)),
         operator=operator,
     )
--- a/src/passrock/wire/cloud.py
+++ b/src/passrock/wire/cloud.py
@@ -58,7 +58,6 @@
     rows = [
         Listed(
             name=cbor.text(row, "ref"),
-            addr=str(row.get("addr", "")),
             type=cbor.text(row, "binding"),
             zone=cbor.text(row, "branch"),
             spot=cbor.flag(row, "loaners"),
--- a/src/passrock/wire/users.py
+++ b/src/passrock/wire/users.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from typing import Any
 
 from passrock.core.model import Amount, Kind, Priority, Spec
 from passrock.wire import cbor
@@ -74,31 +73,3 @@
 def error_answer(reason: str) -> bytes:
     """The body of a refusal."""
     return cbor.encode({"error": reason})
-
-
-def describe(spec: Spec) -> dict[str, Any]:
-    """A submission as a user would write it; the tests' stand-in users need it."""
-    kinds = {kind: name for name, kind in KINDS.items()}
-    priorities = {rank: name for name, rank in PRIORITIES.items()}
-    return {
-        "ref": spec.id,
-        "shelfmark": spec.job_class,
-        "desk": spec.team,
-        "format": kinds[spec.kind],
-        "precedence": priorities[spec.priority],
-        "volumes": spec.tasks,
-        "cores": spec.need.cpus,
-        "cards": spec.need.gpus,
-        "ramGb": spec.need.memory,
-        "edition": spec.image,
-        "imageGb": spec.image_gb,
-        "bindings": None if spec.types is None else list(spec.types),
-        "branch": spec.zone,
-        "samePlace": spec.one_zone,
-        "spread": spec.spread,
-        "loaners": spec.spot,
-        "loanS": spec.estimate,
-        "bookmarkS": spec.checkpoint,
-        "shelveS": spec.save,
-        "dueS": spec.deadline,
-    }
--- a/src/passrock/wire/workers.py
+++ b/src/passrock/wire/workers.py
@@ -56,7 +56,6 @@
         )
     return Report(
         machine=cbor.text(data, "stack"),
-        addr=cbor.text(data, "addr"),
         type=cbor.text(data, "binding"),
         zone=cbor.text(data, "branch"),
         spot=cbor.flag(data, "loaners"),
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -78,7 +78,7 @@
 
 
 def report(machine="m1", session=1, seq=1, token=TERM, tasks=(), zone="a", spot=False, notice=None):
-    return Report(machine, "10.1.0.1:9000", "box", zone, spot, session, seq, token, notice, list(tasks))
+    return Report(machine, "box", zone, spot, session, seq, token, notice, list(tasks))
 
 
 def row(job="wk-1", index=0, attempt=1, state=TaskState.RUNNING, why="", saved=False):
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -198,7 +198,7 @@
     desk, job, checkins = placed_desk(checkpoint=5.0, save=3.0)
     live = next(job.lives())
     handle(desk, checkins, seq=3, tasks=[row()])
-    stop_softly(live, 2.0, 6.0)
+    stop_softly(live, 6.0)
     assert [(c.op, c.grace) for c in handle(desk, checkins, seq=4, tasks=[row()])] == [(Op.STOP, 6.0)]
     saving = [row(state=TaskState.SAVING)]
     assert handle(desk, checkins, seq=5, tasks=saving) == []  # a second stop would end the saving
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import cbor2
 import pytest
 
 from passrock.core.fleet import Fleet
+from passrock.io.http_server import Request, Response
 from standins import virtual_loop
 from standins.world import World
 
@@ -111,3 +113,38 @@
 
     starts, checker = virtual_loop.run(main())
     assert (checker.starts, checker.broken) == (starts, []) and starts == 4
+
+
+def test_bad_input_gets_its_answer_under_load():
+    """The limit on requests in progress refuses work, never the judgement of what can't be taken."""
+
+    async def main():
+        world = World(10)
+        await asyncio.sleep(5.0)
+        node = world.nodes["n0"].node
+        limiter = node.users.limiter
+        limiter.busy = int(limiter.limit)
+        good = world.job(1)
+        cases = [
+            ("POST", "/v2/runs", b"junk"),
+            ("POST", "/v2/runs", cbor2.dumps({**good, "volumes": 0})),
+            ("POST", "/v2/runs", cbor2.dumps({**good, "edition": "x" * 200, "bindings": ["y" * 200] * 9})),
+            ("POST", "/v2/runs", cbor2.dumps({**good, "desk": "nobody"})),
+            ("GET", "/v2/runs/nonsense", b""),
+            ("POST", "/v2/runs/nonsense/withdraw", b""),
+            ("PUT", "/v2/runs", b""),
+            ("GET", "/v2/runs/wk-1/withdraw", b""),
+            ("GET", "/elsewhere", b""),
+            ("POST", "/checkin", b"junk"),
+            ("GET", "/up", b""),
+            ("POST", "/v2/runs", cbor2.dumps(good)),
+        ]
+        answers = []
+        for case in cases:
+            answer = node.handle(Request(*case))
+            answers.append(answer if isinstance(answer, Response) else await answer)
+        return answers
+
+    answers = virtual_loop.run(main())
+    assert [a.status for a in answers] == [400, 400, 400, 422, 404, 404, 405, 405, 404, 400, 200, 429]
+    assert answers[-1].retry_after is not None
