--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -295,7 +295,7 @@
         for job in queue:
             if now - job.order < self.settings.report_s or not self.placer.displaces(job):
                 continue
-            for live in self.placer.make_room(job, now, self.settings.lease_s):
+            for live in self.placer.make_room(job, now):
                 info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
                 stop_softly(live, self.settings.gang_peer_s)
 
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from passrock.core.aims import PAST, Aims
+from passrock.core.aims import Aims
 from passrock.core.fleet import Fleet, Machine, TaskState
 from passrock.core.jobs import Book, Job, Live
 from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
@@ -284,7 +284,7 @@
         """Whether the job's class of standing displaces others at all."""
         return job.spec.priority >= Priority.HIGH or job.spec.id in self.guaranteed
 
-    def make_room(self, job: Job, now: float, patience: float) -> list[Live]:
+    def make_room(self, job: Job, now: float) -> list[Live]:
         """Choose victims so that the job's waiting tasks fit; returns the attempts to stop.
 
         Production takes room at once. Other work is displaced only when that lets the job meet an
@@ -296,15 +296,28 @@
             return []  # earlier victims are still on their way out
         plan = self.plan_room(job, now, math.inf)
         if spec.priority is not Priority.PRODUCTION:
-            left = self.aims.due(job, now, spec.id in self.guaranteed) - now - self.patience
+            left = self.aims.due(job, now, spec.id in self.guaranteed) - now - self.delay_of(plan)
             if fetch_of(job, plan) > left:
                 plan = self.plan_room(job, now, left)
-            aimless = left > PAST / 2  # no aim is left to meet: only a guarantee still counts
-            if spec.id not in self.guaranteed if aimless else fetch_of(job, plan) + self.fleet.lease_s < left:
+            if fetch_of(job, plan) + self.fleet.lease_s < left:
                 return []  # room may still come by itself
+        return self.displace(job, plan, now)
+
+    def delay_of(self, plan: list[tuple[Machine, list[Live]]]) -> float:
+        """Seconds until the victims of a plan have saved and are gone."""
+        saves = [live.job.spec.save for _, stopped in plan for live in stopped if live.job.spec.checkpoint > 0]
+        return self.patience + max(saves, default=0.0)
+
+    def displace(self, job: Job, plan: list[tuple[Machine, list[Live]]], now: float) -> list[Live]:
+        """Hold a plan's machines for the job; the attempts to stop there, gangs whole.
+
+        The hold outlasts the victims' saving: a shorter one let others take the room, and the job
+        began to fetch elsewhere after having waited in vain.
+        """
+        until = now + self.delay_of(plan) + self.patience
         victims: dict[tuple[str, int], Live] = {}
         for machine, stopped in plan:
-            self.holds[machine.name] = Hold(spec.id, now + patience)
+            self.holds[machine.name] = Hold(job.spec.id, until)
             for live in stopped:
                 mates = live.job.lives() if live.job.spec.kind is Kind.GANG else [live]
                 victims.update({mate.key: mate for mate in mates})
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -13,6 +13,7 @@
         Objective("wait", "soon", 30.0, 0.9),
         Objective("finished", "soon", 200.0, 0.9),
         Objective("wait", "late", 300, 0.9),
+        Objective("wait", "now", 6.0, 0.9),
     )
 )
 TERM = 5
