--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -65,7 +65,7 @@
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
         self.aims = aims
-        self.patience = fleet.report_s * 3  # until a task that is told to stop has made room
+        self.patience = fleet.report_s * 1.5  # until a task without anything to save has made room
 
     # -- order ---------------------------------------------------------------------------
 
@@ -314,7 +314,7 @@
         The hold outlasts the victims' saving: a shorter one let others take the room, and the job
         began to fetch elsewhere after having waited in vain.
         """
-        until = now + self.delay_of(plan) + self.patience
+        until = now + self.delay_of(plan) + 2 * self.patience
         victims: dict[tuple[str, int], Live] = {}
         for machine, stopped in plan:
             self.holds[machine.name] = Hold(job.spec.id, until)
