Exits in reports of older terms are evidence only of completion

Cause, found by review: an attempt that lost patience is started again under the same number, so a held-back report of its exit could free a task that runs. Guarded by a table of cases.

--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -38,7 +38,9 @@
             live_now = self.book.held.get(machine.name, {}).get((row.job, row.index))
             match = live_now is not None and live_now.attempt == row.attempt and live_now.session == report.session
             if row.state is TaskState.EXITED:
-                if match and live_now is not None:
+                # a report of an older term may have been held up while its attempt was started again, as
+                # a gang's impatient task is; only completion is final whenever it is heard of
+                if match and live_now is not None and (report.token == self.term or row.why == "done"):
                     if launch and self._wait_on(live_now, row):
                         commands.append(Command(Op.FORGET, row.job, row.index, row.attempt))
                         commands.append(Command(Op.START, row.job, row.index, row.attempt))
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -63,6 +63,15 @@
     assert job.live_count == 0 and "wk-1" in desk.book.finishing
 
 
+def test_exits_in_reports_of_older_terms():
+    """A held-back exit may be of an attempt that was started again since; completion is final."""
+    for why, there in (("alone", True), ("stopped", True), ("done", False)):
+        desk, job, checkins = placed_desk()
+        next(job.lives()).stop = 0.0
+        handle(desk, checkins, seq=3, token=TERM - 1, tasks=[row(state=EXITED, why=why)])
+        assert (job.live_count == 1) is there
+
+
 def test_no_launch_before_the_commit_nor_without_firm_leadership():
     desk = Desk()
     desk.job()
