--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -49,6 +49,8 @@
                         live_now.state = None
                         continue
                     self._exited(live_now, row, machine, now)
+                elif match:
+                    continue
                 if self.book.settled(row.job, row.index) and launch:
                     commands.append(Command(Op.FORGET, row.job, row.index, row.attempt))
             elif match and live_now is not None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -68,7 +68,7 @@
     for why, there in (("alone", True), ("stopped", True), ("done", False)):
         desk, job, checkins = placed_desk()
         next(job.lives()).stop = 0.0
-        handle(desk, checkins, seq=3, token=TERM - 1, tasks=[row(state=EXITED, why=why)])
+        assert handle(desk, checkins, seq=3, token=TERM - 1, tasks=[row(state=EXITED, why=why)]) == []
         assert (job.live_count == 1) is there
 
 
