--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -10,7 +10,7 @@
 from passrock.controller import keys
 from passrock.controller.replica import ReadFence, Replica
 from passrock.core.admission import Limiter, fault
-from passrock.core.jobs import CANCELLED, DONE, fits_record, new_record
+from passrock.core.jobs import CANCELLED, DONE, chunk_tasks, fits_record, new_record
 from passrock.core.model import Spec
 from passrock.core.renting import Market
 from passrock.io.clock import steady, time_of_day
@@ -124,6 +124,7 @@
         self.limiter = limiter
         self.rng = rng
         self.fence = ReadFence(state, replica, 1.0 / settings.state_rps)
+        self.chunk_size = chunk_tasks(settings.value_bytes)
         self.submitter = Submitter(state, settings.txn_ops)
 
     def handle(self, request: Request) -> Response | Awaitable[Response]:
@@ -183,7 +184,7 @@
         value = entry.value
         spec = value["s"]
         done, running = int(value["d"], 16).bit_count(), len(value["l"])
-        if spec["n"] > 0 and keys.chunk(job_id, 1) and spec["n"] > done + running:
+        if spec["n"] > self.chunk_size:
             for chunk in self.replica.with_prefix(f"{keys.CHUNK}{job_id}/"):
                 done += int(chunk.value["d"], 16).bit_count()
                 running += len(chunk.value["l"])
--- a/tests/standins/state_service.py
+++ b/tests/standins/state_service.py
@@ -1,6 +1,7 @@
 """Stand-in for the state service, written from the interface's description."""
 
 import asyncio
+import json
 from urllib.parse import parse_qs, urlsplit
 
 import cbor2
@@ -17,6 +18,7 @@
         self.outage = False
         self.kept = 10_000
         self.commits = 0
+        self.txn_ops, self.value_bytes, self.oversized = 12, 4096, 0
 
     def _now(self):
         return asyncio.get_running_loop().time()
@@ -105,6 +107,11 @@
 
     def _commit(self, body):
         self.commits += 1
+        sizes = [len(json.dumps(op["v"])) for op in body["apply"] if "set" in op]
+        too_many = len(body["apply"]) > self.txn_ops or len(body["if"]) > 4 * self.txn_ops
+        if too_many or max(sizes, default=0) > self.value_bytes or sum(sizes) > 64 * 1024:
+            self.oversized += 1
+            return 400, cbor2.dumps({"error": "too large"})
         failed = [c["key"] for c in body["if"] if self.data.get(c["key"], (None, 0, None))[1] != c["stamp"]]
         if any(op.get("loan") is not None and op["loan"] not in self.leases for op in body["apply"]):
             return 400, cbor2.dumps({"error": "no such lease"})
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -148,3 +148,25 @@
     answers = virtual_loop.run(main())
     assert [a.status for a in answers] == [400, 400, 400, 422, 404, 404, 405, 405, 404, 400, 200, 429]
     assert answers[-1].retry_after is not None
+
+
+def test_array_of_100_000_tasks():
+    """Held within value and transaction sizes, survives a takeover, and leaves nothing behind when cancelled."""
+
+    async def main():
+        world = World(11)
+        spec = world.job(1, volumes=100_000)
+        world.spawn(world.user(spec, run_s=2.0, cancel_after=40.0))
+        await asyncio.sleep(25.0)
+        leader = next(name for name, sim in world.nodes.items() if sim.node.leadership.leading)
+        await world.crash([leader], 0.2)
+        await asyncio.sleep(10.0)
+        status, answer = await world.ask("GET", "/v2/runs/wk-000001")
+        await asyncio.sleep(20.0)
+        left = [key for key in world.state.data if "wk-000001" in key]
+        return world, status, answer, left
+
+    world, status, answer, left = virtual_loop.run(main())
+    assert world.checker.broken == [] and world.state.oversized == 0
+    assert status == 200 and answer["done"] >= 20
+    assert left == ["p/f/wk-000001"] and world.checker.told["wk-000001"][1] == "cancelled"
