--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import gc
 import random
-from collections.abc import Awaitable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from passrock import __version__
 from passrock.controller import keys
@@ -23,7 +23,7 @@
 from passrock.io.http_server import HttpServer, Request, Response
 from passrock.io.peers import Link, PeerLink, Peers
 from passrock.io.state import StateClient, StateError
-from passrock.logs import debug, info, start_logging
+from passrock.logs import debug, error, info, start_logging
 from passrock.settings import Settings
 from passrock.wire import users as user_wire
 from passrock.wire import workers as worker_wire
@@ -153,13 +153,27 @@
 
     async def work(self) -> None:
         """Everything but listening."""
-        await asyncio.gather(
-            self.replica.run(),
-            self.leadership.run(),
-            self.peers.run(self.settings.report_s / 3),
-            self._learn_types(),
-            self._beat(),
-        )
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self.replica.run,
+            self.leadership.run,
+            lambda: self.peers.run(self.settings.report_s / 3),
+            self._learn_types,
+            self._beat,
+        ]
+        await asyncio.gather(*(self._keep(loop) for loop in loops))
+
+    async def _keep(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """Run one of the node's loops; what nobody foresaw is logged, and the loop begins again.
+
+        A malformed answer from outside must never end the process.
+        """
+        while True:
+            try:
+                await loop()
+                return
+            except Exception as problem:
+                error("loop_failed", problem=repr(problem))
+                await asyncio.sleep(self.settings.leader_lease_s / 4)
 
     async def _learn_types(self) -> None:
         """Machine types are needed before anything can be decided."""
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -170,3 +170,29 @@
     assert world.checker.broken == [] and world.state.oversized == 0
     assert status == 200 and answer["done"] >= 20
     assert left == ["p/f/wk-000001"] and world.checker.told["wk-000001"][1] == "cancelled"
+
+
+def test_malformed_answers_never_end_the_process():
+    """Services that answer junk for a while are logged and count as no answer."""
+
+    async def main():
+        world = World(12)
+        world.spawn(world.user(world.job(1), cancel_after=1e9))
+        await asyncio.sleep(20.0)
+        handlers = world.state.handle, world.cloud.handle
+        junk = [(200, b"junk"), (200, cbor2.dumps([])), (200, cbor2.dumps({"ledger": -1, "events": 5})), (418, b"")]
+
+        async def answer_junk(method, path, body):
+            await asyncio.sleep(0.01)
+            return world.rng.choice(junk)
+
+        world.state.handle = world.cloud.handle = answer_junk
+        await asyncio.sleep(15.0)
+        world.state.handle, world.cloud.handle = handlers
+        world.spawn(world.user(world.job(2)))
+        await asyncio.sleep(60.0)
+        return world, [sim.work.done() for sim in world.nodes.values()]
+
+    world, ended = virtual_loop.run(main())
+    assert world.checker.broken == [] and world.done_users == 2
+    assert ended == [False, False, False]
