--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -403,6 +403,14 @@
         await asyncio.sleep(for_s)
         sim.refused = False
 
+    async def cloud_trouble(self, for_s):
+        """The cloud answers nothing, and for longer its machines boot badly."""
+        self.cloud.outage, self.cloud.boot_fails = True, 0.5
+        await asyncio.sleep(for_s)
+        self.cloud.outage = False
+        await asyncio.sleep(for_s)
+        self.cloud.boot_fails = 0.0
+
     def some_worker(self):
         return self.rng.choice(sorted(self.workers.values(), key=lambda w: w.name)) if self.workers else None
 
@@ -410,7 +418,7 @@
         """Something goes wrong."""
         rng = self.rng
         kind = rng.choice(
-            ["crash", "crash_all", "outage", "refuse", "cut", "hang", "take", "notice", "sick", "peers"]
+            ["crash", "crash_all", "outage", "refuse", "cut", "hang", "take", "notice", "sick", "peers", "cloud"]
         )
         worker = self.some_worker()
         names = list(self.nodes)
@@ -423,6 +431,8 @@
             self.spawn(self.outage(rng.uniform(2.0, 20.0)))
         elif kind == "refuse" and alive:
             self.spawn(self.refuse(rng.choice(alive), rng.uniform(3.0, 25.0)))
+        elif kind == "cloud":
+            self.spawn(self.cloud_trouble(rng.uniform(5.0, 25.0)))
         elif kind == "peers":
             self.cuts.append(("peers", rng.choice(names), self.now() + rng.uniform(2.0, 20.0)))
         elif worker is not None and kind == "cut":
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,108 @@
+"""Claims of docs/safety.md that a story shows best, each in the simulated world."""
+
+import asyncio
+
+import cbor2
+
+from passrock.io.state import Refused
+from passrock.wire.state import Put
+from standins import virtual_loop
+from standins.world import World
+
+
+def leaders(world):
+    """Names of the nodes that lead firmly at this moment."""
+    return [name for name, sim in world.nodes.items() if sim.alive and sim.node.leadership.firm()]
+
+
+async def settled(seed, jobs=2):
+    """A world with some replicas running; its leader's name."""
+    world = World(seed)
+    for number in range(jobs):
+        spec = world.job(number, format="service", precedence="prod", loanS=0.0)
+        world.spawn(world.user(spec, cancel_after=1e9))
+    await asyncio.sleep(20.0)
+    return world, leaders(world)[0]
+
+
+def test_never_two_firm_leaders_and_late_writes_fail():
+    async def main():
+        world, old = await settled(60)
+        sim = world.nodes[old]
+        stamp = sim.node.leadership.stamp
+        world.spawn(world.refuse(old, 30.0))
+        most, changed_at = 0, None
+        for step in range(600):
+            await asyncio.sleep(0.05)
+            now = leaders(world)
+            most = max(most, len(now))
+            if changed_at is None and now and now[0] != old:
+                changed_at = step * 0.05
+        other = next(s for name, s in world.nodes.items() if name != old)
+        late = await other.node.state.commit({"p/lead": stamp}, [Put("p/j/wk-1", {})])
+        return world, most, changed_at, late
+
+    world, most, changed_at, late = virtual_loop.run(main())
+    assert most == 1 and changed_at < world.limits["lease_s"] / 2
+    assert isinstance(late, Refused) and late.failed == ("p/lead",)
+    assert world.checker.broken == []
+
+
+def test_restarted_leader_takes_over_its_own_key_at_once():
+    async def main():
+        world, old = await settled(61)
+        term = world.nodes[old].node.leadership.term
+        await world.crash([old], 0.1)
+        await asyncio.sleep(1.0)
+        return world, old, leaders(world), world.nodes[old].node.leadership.term, term
+
+    world, old, now, new_term, term = virtual_loop.run(main())
+    assert now == [old] and new_term == term + 1
+    assert world.checker.broken == []
+
+
+def test_cancellation_reaches_tasks_though_the_leader_is_refused():
+    async def main():
+        world, old = await settled(62)
+        world.spawn(world.refuse(old, 30.0))
+        other = next(name for name in world.nodes if name != old)
+        world.checker.cancel_asked.add("wk-000000")
+        asked = world.now()
+        status, answer = await world.ask("POST", "/v2/runs/wk-000000/withdraw", node=other)
+        world.checker.answered("wk-000000", asked, status, answer)
+        await asyncio.sleep(world.limits["cancel_s"])
+        return world, status, answer["status"]
+
+    world, status, told = virtual_loop.run(main())
+    assert (status, told) == (200, "cancelled")
+    assert not world.checker.present[("wk-000000", 0)] and world.checker.broken == []
+
+
+def test_done_and_cancelled_exclude_each_other():
+    async def main():
+        world = World(63)
+        world.spawn(world.user(world.job(1), run_s=1.0))
+        while world.done_users < 1:
+            await asyncio.sleep(0.1)
+        status, answer = await world.ask("POST", "/v2/runs/wk-000001/withdraw")
+        again = await world.ask("POST", "/v2/runs", cbor2.dumps(world.job(1)), 5.0)
+        return status, answer["status"], again[0], again[1]["status"], sorted(world.state.data)
+
+    status, told, again, state, left = virtual_loop.run(main())
+    assert (status, told, again, state) == (200, "done", 200, "done")
+    assert "p/f/wk-000001" in left and not any(key.startswith(("p/j/", "p/c/")) for key in left)
+
+
+def test_a_node_whose_copy_hangs_gives_no_older_answer():
+    async def main():
+        world, old = await settled(64)
+        behind = next(name for name in world.nodes if name != old)
+        world.spawn(world.refuse(behind, 20.0))
+        await asyncio.sleep(0.5)
+        status, _ = await world.ask("POST", "/v2/runs", cbor2.dumps(world.job(9)), 5.0, node=old)
+        stale = await world.ask("GET", "/v2/runs/wk-000009", node=behind)
+        fresh = await world.ask("GET", "/v2/runs/wk-000009", node=old)
+        unknown = await world.ask("GET", "/v2/runs/wk-777777", node=old)
+        return status, stale[0], fresh[0], unknown[0]
+
+    assert virtual_loop.run(main()) == (201, 503, 200, 404)
