--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -356,3 +356,20 @@
     waits = [budget.take(0.0, 1) for _ in range(8)]
     assert waits[:5] == [0.0] * 5 and waits[5:] == pytest.approx([0.1, 0.2, 0.3])
     assert budget.take(10.0, 1) == 0.0
+
+
+def test_a_displaced_gang_is_stopped_whole():
+    """Every mate is told to stop with time to save, also those on machines that nobody asked for."""
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    gang = desk.job(1, kind=Kind.GANG, tasks=2, need=Amount(10, 2, 50), team="t1", checkpoint=5.0, save=3.0)
+    desk.run()
+    for live in gang.lives():
+        live.state, live.seen = TaskState.RUNNING, True
+    replica = desk.job(2, priority=Priority.PRODUCTION, at=1.0)
+    desk.run(1.0)
+    victims = desk.placer.make_room(replica, 1.0)
+    assert {live.machine for live in victims} == {"m1", "m2"}
+    for live in victims:
+        stop_softly(live, 6.0)
+    assert [live.stop for live in gang.lives()] == [6.0, 6.0]
+    assert desk.placer.make_room(replica, 2.0) == []  # one set of victims at a time
