Ticks place on events at their own pace; indexes for placing; deaf machines; room kept for late gangs

Nothing is placed on a machine before a report shows this term's token; one that no answer reaches is deleted, and gets no more answers. Gangs past 0.3 of begin_within_s have machines held for them.

--- a/deploy/passrock.hcl
+++ b/deploy/passrock.hcl
@@ -20,5 +20,10 @@
 idle_boot_ratio = 0.4
 idle_floor_s = 8.0
 
+# Users expect every job to begin within this time (10 to 86400 s). After this part of it (0.02 to 1)
+# a waiting job goes first, and machines are kept for it until a whole gang fits.
+begin_within_s = 240.0
+keep_room_ratio = 0.3
+
 # The part of the process's sockets that users and workers may hold (0.2 to 0.95).
 socket_share = 0.85
--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -85,9 +85,18 @@
         return all(h.state_down and not h.leading and h.term <= token for h, _ in answers)
 
     def leader(self) -> str | None:
-        """The node that leads, as far as is known here."""
+        """The node that leads, as far as is known here lately.
+
+        A peer that says so itself comes first. The copy of the state counts only while the service is
+        heard of: a node cut off from it would otherwise send workers to a leader of long ago.
+        """
+        now = steady()
+        if self.peers is not None:
+            leading = [h for h, _ in self.peers.answers(now - self.ttl) if h.leading and h.term >= self.known_term]
+            if leading:
+                return max(leading, key=lambda hello: hello.term).node
         entry = self.replica.get(keys.LEADER)
-        if entry is not None and isinstance(entry.value, dict):
+        if entry is not None and isinstance(entry.value, dict) and not self.state.down(now, self.ttl):
             node = entry.value.get("node")
             return node if isinstance(node, str) else None
         return None
@@ -170,7 +179,9 @@
         term_entry = self.replica.get(keys.TERM)
         if term_entry is not None:
             self.saw_term(int(term_entry.value))
-        if entry is not None and self.leader() != self.settings.node:
+        if entry is not None and not (
+            isinstance(entry.value, dict) and entry.value.get("node") == self.settings.node
+        ):
             return
         # a key that names this very node is from before its restart: that process is dead
         await asyncio.sleep(self.rng.random() * self.ttl / 40)
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -103,13 +103,21 @@
         return Response(404, user_wire.error_answer("no such path"))
 
     def healthy(self) -> bool:
-        """Whether users should come here: not when only this node is refused by the state service."""
+        """Whether users should come here.
+
+        Not when only this node is refused by the state service, nor when it sees the service down and no
+        majority of controllers says the same: then it is this node that is cut off. In an outage that all
+        see, no node is better than another, and those marked unhealthy would be slow to come back.
+        """
         if not self.replica.loaded or not self.market.types:
             return False
         now = steady()
         if not self.state.down(now, 1.5):
             return True
-        return not any(not hello.state_down for hello, _ in self.peers.answers(now - 3.0))
+        answers = self.peers.answers(now - 3.0)
+        if any(not hello.state_down for hello, _ in answers):
+            return False
+        return (len(answers) + 1) * 2 > self.settings.nodes
 
     def _checkin(self, request: Request) -> Response | Awaitable[Response]:
         try:
@@ -125,12 +133,16 @@
         if self.term is None:
             return Response(200, worker_wire.answer(self.leadership.term, []))
         commands = self.term.checkin(report)
+        if commands is None:
+            return Response(503)
         if isinstance(commands, list):
             return Response(200, worker_wire.answer(self.leadership.term, commands))
         return self._checked_in(commands, self.leadership.term)
 
-    async def _checked_in(self, work: Awaitable[list[Command]], term: int) -> Response:
+    async def _checked_in(self, work: Awaitable[list[Command] | None], term: int) -> Response:
         commands = await work
+        if commands is None:
+            return Response(503)
         if not self.leadership.may_renew() or self.leadership.term != term:
             return Response(421, worker_wire.redirect(None))
         return Response(200, worker_wire.answer(term, commands))
--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -14,6 +14,7 @@
 
 WATCH_MS = 4000
 FINALS_KEPT = 20_000
+WATCH_GAP = 3.0  # between two watches, as a number of requests at this node's rate
 RETRY_S = 0.3
 LOADED = (
     keys.JOB,
@@ -50,6 +51,8 @@
                     await self._load()
                 changes, revision = await self.state.changes(keys.ROOT, self.revision, WATCH_MS)
                 self._take(changes, revision)
+                # each new watch is a request: at a high rate of changes they are taken several at a time
+                await asyncio.sleep(WATCH_GAP / self.state.requests.rate)
             except TooOld:
                 self.loaded = False
             except StateError:
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -28,7 +28,10 @@
 from passrock.settings import Settings
 from passrock.wire.state import Entry, Put, Write
 
+TICK_REST = 2.0  # times the time a tick took, until the next one
+PLAN_EVERY = 0.4  # of the report interval, between looks at renting and displacement
 EARLY_ROUND = 0.25  # of the round interval, the least time between two rounds
+RECORD_SPARE = 0.6  # of the burst of writes must be free before a round's records are written
 HINT_BYTES = 160  # a machine with its images in a hint record, at its longest
 
 
@@ -54,13 +57,14 @@
         self.began = steady()
         operator = settings.operator
         self.book = Book(chunk_tasks(settings.value_bytes))
-        self.fleet = Fleet(settings.report_s, settings.lease_s, operator.silent_ratio, self.began)
+        self.fleet = Fleet(settings.report_s, settings.lease_s, operator.silent_ratio, self.began, leadership.term)
         self.checkins = Checkins(self.book, self.fleet, leadership.term)
         self.bound: dict[str, str] = {}
-        self.placer = Placer(self.book, self.fleet, settings.teams, self.bound, Aims(settings.objectives))
+        keep_after = operator.begin_within_s * operator.keep_room_ratio
+        self.placer = Placer(self.book, self.fleet, settings.teams, self.bound, Aims(settings.objectives), keep_after)
         self.pump = Pump(state, self.book, leadership.stamp, settings.txn_ops)
         self.pump.on_final = replica.note_final
-        self.pump.on_commit = self.poke
+        self.pump.on_commit = self._move
         self.pump.lost = lambda: leadership.step_down("leader key lost")
         self.rentals = Rentals(settings, state, cloud, market, self.fleet, leadership)
         self.rentals.on_gone = self.machine_gone
@@ -69,9 +73,13 @@
         self.round_due = 0.0
         self.round_at = -math.inf
         self.recorded: dict[str, Any] = {}
+        self.recording: asyncio.Task[None] | None = None
         self.tasks: list[asyncio.Task[None]] = []
+        self.ticks = 0
         self._poked = asyncio.Event()
+        self._moved = asyncio.Event()
         self._last_tick = self.began
+        self._plan_due = 0.0
 
     # -- beginning and end ------------------------------------------------------------------------
 
@@ -114,8 +122,10 @@
             except TimeoutError:
                 pass
             self._poked.clear()
+            began = steady()
             self.tick()
-            await asyncio.sleep(self.settings.report_s / 20)
+            # a look takes longer the more there is: it may have a part of the processor, never all of it
+            await asyncio.sleep(max(self.settings.report_s / 20, (steady() - began) * TICK_REST))
 
     def _load(self) -> None:
         now = steady()
@@ -174,48 +184,74 @@
         """Something changed: look again soon."""
         self._poked.set()
 
+    def _move(self) -> None:
+        """A tick or a commit is over: answers that wait for one go on."""
+        self._moved.set()
+        self._moved = asyncio.Event()
+
     # -- check-ins ---------------------------------------------------------------------------------
 
-    def checkin(self, report: Report) -> list[Command] | Awaitable[list[Command]]:
-        """Commands for a worker; its lease is renewed by the answer.
+    def checkin(self, report: Report) -> list[Command] | Awaitable[list[Command] | None] | None:
+        """Commands for a worker, whose lease is renewed by the answer; None when it must get no answer.
 
-        When the report makes room, what is placed there goes into the same answer: it waits for the
-        commit for a small part of the report interval.
+        An unchanged report takes a short path: placing is the ticks' work. When the report makes room,
+        its answer waits for the next tick and commit, for a small part of the report interval, so that
+        what is placed there goes into it.
         """
         now = steady()
         kind = self.market.types.get(report.type)
         if not self.ready or kind is None:
             return []
         known = self.fleet.machines.get(report.machine)
-        was_up = known is not None and known.up
+        was_usable = known is not None and known.up and known.confirmed
         machine = self.fleet.observe(report, kind, now)
         if machine is None:
-            return []
+            return None  # a late copy, or of a machine that is gone: an answer could only renew by mistake
+        commands = self.checkins.handle(machine, report, now, launch=self.leadership.firm())
+        if self.checkins.changed:
+            self._log_changes(machine, now)
+            self.poke()
+        if self.book.dirty or self.book.finishing:
+            self.pump.wake.set()
+        if machine.deleting:
+            return None  # its deletion may take long: unanswered, its lease ends as well
         machine.answered = now
-        if machine.notice_until is not None and not machine.deleting:
+        if machine.notice_until is not None:
             self._drain(machine.name)
-        commands = self.checkins.handle(machine, report, now, launch=self.leadership.firm())
+        if machine.confirmed and not was_usable:
+            self.round_early()
+            info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
+            self.poke()
+        lives = self.book.held.get(machine.name)
+        if self.checkins.changed or (
+            lives is not None and any(live.sent_seq is None and live.mine for live in lives.values())
+        ):
+            return self._with_launches(machine, report, commands, self.ticks)
+        return commands
+
+    def _log_changes(self, machine: Machine, now: float) -> None:
         for live in self.checkins.begun:
             after = round(now - live.placed_at, 1) if live.mine else "?"
             info("task_runs", job=live.job.spec.id, task=live.index, machine=machine.name, after_s=after)
         for live, why in self.checkins.exits:
             job = live.job.spec.id
             info("task_end", job=job, task=live.index, attempt=live.attempt, machine=machine.name, why=why)
-        if not was_up:
-            self.round_early()
-            info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
-        if self.checkins.changed or not was_up:
-            self.tick()
-        if self.book.dirty or self.book.finishing:
-            self.pump.wake.set()
-        if any(live.sent_seq is None and live.mine for live in self.book.held.get(machine.name, {}).values()):
-            return self._with_launches(machine, report, commands)
-        return commands
 
-    async def _with_launches(self, machine: Machine, report: Report, commands: list[Command]) -> list[Command]:
+    async def _with_launches(
+        self, machine: Machine, report: Report, commands: list[Command], tick: int
+    ) -> list[Command] | None:
         end = steady() + self.settings.report_s / 4
-        while steady() < end and not all(map(self.book.committed, self.book.held.get(machine.name, {}).values())):
-            await asyncio.sleep(self.settings.report_s / 100)
+        while steady() < end:
+            lives = self.book.held.get(machine.name, {}).values()
+            if self.ticks > tick and all(map(self.book.committed, lives)):
+                break
+            try:
+                async with asyncio.timeout(end - steady()):
+                    await self._moved.wait()
+            except TimeoutError:
+                break
+        if machine.deleting or self.fleet.machines.get(machine.name) is not machine:
+            return None
         if self.leadership.firm():
             commands += self.checkins.launches(machine, report)
         machine.answered = steady()
@@ -239,7 +275,7 @@
     # -- the leader's look at everything ---------------------------------------------------------
 
     def tick(self) -> None:
-        """Evidence, placement, preemption, renting, and a round when one is due."""
+        """Evidence and placement; at longer intervals preemption, renting, and a round when one is due."""
         now = steady()
         if now - self._last_tick > self.settings.report_s:
             self.fleet.began = now  # this process stood still: silence in that time proves nothing
@@ -247,17 +283,22 @@
         if not self.leadership.firm():
             return
         self.leadership.check_fence()
-        self._watch_machines(now)
+        planning = now >= self._plan_due
+        if planning:
+            self._plan_due = now + self.settings.report_s * PLAN_EVERY
+            self._watch_machines(now)
         started = self.placer.run(now)
         for live in started:
             info("place", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=live.machine)
-        queue = [job for job in self.placer.queue(now) if job.waiting > 0]
-        self._preempt(queue, now)
+        if planning:
+            self._preempt(self.placer.waiting, now)
+            self._rent(self.placer.waiting, now)
         if now >= self.round_due:
             self._round(now)
-        self._rent(queue, now)
         if self.book.dirty or self.book.finishing:
             self.pump.wake.set()
+        self.ticks += 1
+        self._move()
 
     def _watch_machines(self, now: float) -> None:
         fleet = self.fleet
@@ -269,6 +310,11 @@
                 if machine.name in self.book.held or now - machine.heard > self.settings.lease_s:
                     info("machine_silent", machine=machine.name, for_s=round(now - machine.heard, 1))
                     self.rentals.delete(machine)
+        deaf = [m for m in up if fleet.deaf(m, now)]
+        if len(deaf) * 2 <= len(up) + 2:
+            for machine in deaf:
+                info("machine_deaf", machine=machine.name, unheeded=machine.unheeded)
+                self.rentals.delete(machine)
         for machine in up:
             if fleet.lease_over(machine, now, self.leadership.fenced_at) and machine.name in self.book.held:
                 info("lease_over", machine=machine.name)
@@ -343,6 +389,7 @@
     # -- the binding round -----------------------------------------------------------------------
 
     def _round(self, now: float) -> None:
+        early = now - self.round_at < self.settings.operator.round_s
         self.round_due = now + self.settings.operator.round_s
         self.round_at = now
         result = self._bind(now)
@@ -352,12 +399,16 @@
         for name, team in sorted(result.owner.items()):
             records[team].append(name)
         writes: dict[str, Any] = {keys.RESERVATION + team: {"m": names} for team, names in records.items()}
-        hints = self.fleet.encode_hints(max(1, self.settings.value_bytes // HINT_BYTES))
-        writes.update({f"{keys.HINT}{i}": record for i, record in enumerate(hints)})
+        if not early:
+            hints = self.fleet.encode_hints(max(1, self.settings.value_bytes // HINT_BYTES))
+            writes.update({f"{keys.HINT}{i}": record for i, record in enumerate(hints)})
         changed = {key: value for key, value in writes.items() if value != self.recorded.get(key)}
         info("round", short=len(result.short), changed=len(changed), **self._census())
         if changed:
-            self.tasks.append(asyncio.ensure_future(self._record(changed)))
+            if self.recording is not None:
+                self.recording.cancel()  # this round's records stand for those not yet written
+            self.recording = asyncio.ensure_future(self._record(changed))
+            self.tasks.append(self.recording)
         self.tasks = [task for task in self.tasks if not task.done()]
 
     def _census(self) -> dict[str, object]:
@@ -397,13 +448,20 @@
         return bind(units, claims, self.bound, self.settings.zones, self.settings.operator.alpha_extra)
 
     async def _record(self, changed: dict[str, Any]) -> None:
-        """Write the reservations and hints that changed, a transaction's worth at a time."""
-        names = sorted(changed)
+        """Write the reservations and hints that changed, with what jobs leave of the write rate.
+
+        On a large fleet there are dozens, enough to hold up launches and completions for seconds.
+        """
+        writes = self.state.writes
+        names = sorted(changed, key=lambda key: (key.startswith(keys.HINT), key))
         while names:
-            part, names = names[: self.settings.txn_ops], names[self.settings.txn_ops :]
-            writes: list[Write] = [Put(key, changed[key]) for key in part]
+            while writes.spare(steady()) < RECORD_SPARE:
+                await asyncio.sleep(self.settings.report_s / 4)
+            count = max(1, min(self.settings.txn_ops, int(writes.burst * RECORD_SPARE / 2)))
+            part, names = names[:count], names[count:]
+            changes: list[Write] = [Put(key, changed[key]) for key in part]
             try:
-                result = await self.state.commit({keys.LEADER: self.leadership.stamp}, writes)
+                result = await self.state.commit({keys.LEADER: self.leadership.stamp}, changes)
             except StateError:
                 return  # the next round writes what still differs
             if not isinstance(result, Committed):
--- a/src/passrock/core/aims.py
+++ b/src/passrock/core/aims.py
@@ -33,6 +33,7 @@
                 self._ends.setdefault(aim.job_class, []).append(aim.within_s)
         for times in (*self._waits.values(), *self._ends.values()):
             times.sort()
+        self._with_guarantee = {name: sorted(times + self._guarantees) for name, times in self._waits.items()}
 
     def due(self, job: Job, now: float, guaranteed: bool = False) -> float:
         """When the job should start to meet the next aim that it can still meet.
@@ -40,14 +41,17 @@
         A job that has missed an aim no longer competes for it with those that can still make it.
         """
         spec = job.spec
-        waits = self._waits.get(spec.job_class, [])
-        for within in sorted(waits + self._guarantees) if guaranteed else waits:
+        if guaranteed:
+            waits = self._with_guarantee.get(spec.job_class, self._guarantees)
+        else:
+            waits = self._waits.get(spec.job_class, [])
+        for within in waits:
             if now < job.order + within:
                 return job.order + within
-        ends = list(self._ends.get(spec.job_class, ()))
+        ends = self._ends.get(spec.job_class, [])
         if spec.deadline is not None:
-            ends.append(spec.deadline)
-        for within in sorted(ends):
+            ends = sorted([*ends, spec.deadline])
+        for within in ends:
             if now < job.order + within - spec.estimate:
                 return job.order + within - spec.estimate
         return PAST + job.order
--- a/src/passrock/core/budget.py
+++ b/src/passrock/core/budget.py
@@ -28,6 +28,12 @@
             self._fill(now)
             return max(0.0, (1.0 - self._level) / self.rate)
 
+    def spare(self, now: float) -> float:
+        """How much of a full burst is left, from 0 (or below) to 1."""
+        with self._lock:
+            self._fill(now)
+            return self._level / self.burst
+
     def refused(self, now: float) -> None:
         """The service found the rate exceeded: what was left is gone."""
         with self._lock:
--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -18,6 +18,7 @@
         self.fleet = fleet
         self.term = term
         self.changed = False
+        self.unheeded = False
         self.exits: list[tuple[Live, str]] = []
         self.begun: list[Live] = []
 
@@ -63,11 +64,14 @@
                 strays[(row.job, row.index)] = NOTHING if job is None else job.spec.need
                 commands.append(Command(Op.STOP, row.job, row.index, row.attempt))
         machine.strays = strays
+        self.unheeded = False
         for live in list(self.book.held.get(machine.name, {}).values()):
             if (live.job.spec.id, live.index, live.attempt) not in listed:
                 commands += self._absent(live, report, machine, launch, now)
                 if live.state is None:
                     fetching.setdefault(live.job.spec.image, live.job.spec.image_gb)
+        if self.unheeded:
+            machine.unheeded += 1
         machine.fetching = {image: gb for image, gb in fetching.items() if image not in machine.images}
         self._recount(machine, now)
         return commands
@@ -96,7 +100,9 @@
         self.book.gone(live, now)
 
     def _present(self, live: Live, row: TaskReport, machine: Machine, now: float) -> None:
-        live.seen = True
+        if not live.seen:
+            live.seen = True
+            machine.unheeded = 0
         if live.state is not row.state:
             self.changed = True
             live.state = row.state
@@ -128,6 +134,8 @@
             return []
         if unwanted or not launch or not self.book.committed(live):
             return []
+        if proof and live.sent_seq is not None:
+            self.unheeded = True  # the launch was sent, and the next report shows nothing of it
         live.sent_seq = report.seq
         return [Command(Op.START, live.job.spec.id, live.index, live.attempt)]
 
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -13,6 +13,8 @@
 DRIFT = 1.002
 # Slow machines take several times the usual boot time; after this many times one is given up.
 BOOT_PATIENCE = 3.0
+# So many answers without effect mean that none reaches the machine; one alone is lost now and then.
+UNHEEDED_MOST = 2
 # Names of deleted machines that are remembered: many times what a list could still show.
 DELETED_KEPT = 10_000
 
@@ -99,6 +101,9 @@
     seq: int = -1
     heard: float = 0.0
     answered: float = 0.0
+    up_since: float = 0.0
+    confirmed: bool = False  # has reported with this term's token, so that answers do reach it
+    unheeded: int = 0  # answers in a row that had no effect on what it reported next
     notice_until: float | None = None
     deleting: bool = False
     blocked_until: float = 0.0
@@ -117,6 +122,11 @@
             free = free - amount
         return free
 
+    @property
+    def hears(self) -> bool:
+        """Whether it is known that answers reach the worker, and not only its reports the leader."""
+        return self.confirmed and self.unheeded < UNHEEDED_MOST
+
     def fetched(self, spec: Spec) -> None:
         """The machine has this image now; the least recently used ones make room."""
         self.fetching.pop(spec.image, None)
@@ -138,9 +148,10 @@
 class Fleet:
     """All machines of one leader's term."""
 
-    def __init__(self, report_s: float, lease_s: float, silent_ratio: float, began: float) -> None:
+    def __init__(self, report_s: float, lease_s: float, silent_ratio: float, began: float, term: int) -> None:
         self.report_s = report_s
         self.lease_s = lease_s
+        self.term = term
         self.silent_s = max(lease_s * silent_ratio, report_s * 2.5)
         self.began = began
         self.machines: dict[str, Machine] = {}
@@ -167,7 +178,10 @@
             return None
         if not machine.up:
             machine.up = True
-            machine.idle_since = now
+            machine.up_since = machine.idle_since = now
+        elif report.session > machine.session and now - machine.answered < self.lease_s:
+            machine.unheeded += 1  # its lease ran out although it was answered
+        machine.confirmed = machine.confirmed or report.token == self.term
         machine.session, machine.seq = report.session, report.seq
         machine.heard = now
         if report.notice is not None:
@@ -213,11 +227,23 @@
             return False
         return now - machine.since > BOOT_PATIENCE * machine.type.boot_s + self.lease_s
 
+    def deaf(self, machine: Machine, now: float) -> bool:
+        """Whether reports arrive while no answer gets through: the other direction is broken.
+
+        Such a machine looks healthy by its reports alone, and so does a late copy of a report from one
+        that is gone. Nothing is placed before a report shows this term's token, which only an answer
+        can have carried there.
+        """
+        if not machine.up or machine.deleting:
+            return False
+        return machine.unheeded >= UNHEEDED_MOST or (not machine.confirmed and now - machine.up_since > self.lease_s)
+
     def usable(self, machine: Machine, now: float) -> bool:
         """Whether tasks may be placed on the machine now."""
         return (
             machine.up
             and not machine.deleting
+            and machine.hears
             and machine.notice_until is None
             and machine.blocked_until <= now
             and now - machine.heard <= self.report_s * 2.5
--- a/src/passrock/core/model.py
+++ b/src/passrock/core/model.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import IntEnum, StrEnum
 
+import msgspec
+
 EPSILON = 1e-6
 
 
@@ -25,9 +27,8 @@
     PRODUCTION = 3
 
 
-@dataclass(slots=True, frozen=True)
-class Amount:
-    """What a task takes of a machine, or what a machine has."""
+class Amount(msgspec.Struct, frozen=True, gc=False):
+    """What a task takes of a machine, or what a machine has; made by the thousand, hence a light struct."""
 
     cpus: float
     gpus: float
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -5,6 +5,8 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
+from typing import Any
 
 from passrock.core.aims import Aims
 from passrock.core.fleet import Fleet, Machine, TaskState
@@ -18,6 +20,8 @@
 TOGETHER_COST = 10.0
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
+MANY = 1 << 30
+LONG_S = 3600.0  # for what ends when its user says so
 
 
 @dataclass(slots=True)
@@ -53,7 +57,9 @@
 class Placer:
     """Places waiting tasks; one pass at a time."""
 
-    def __init__(self, book: Book, fleet: Fleet, teams: dict[str, Team], bound: dict[str, str], aims: Aims) -> None:
+    def __init__(
+        self, book: Book, fleet: Fleet, teams: dict[str, Team], bound: dict[str, str], aims: Aims, keep_after: float
+    ) -> None:
         self.book = book
         self.fleet = fleet
         self.teams = teams
@@ -61,6 +67,11 @@
         self.holds: dict[str, Hold] = {}
         self.rooms = Rooms()
         self.usable: list[Machine] = []
+        self.kinds: dict[str, MachineType] = {}
+        self.open: list[Machine] = []  # usable ones with room
+        self.waiting: list[Job] = []  # what the last pass left, most urgent first
+        self.hopeless: dict[Any, int] = {}  # kinds of tasks with the least number that found no room
+        self.keep_after = keep_after
         self.strays: set[tuple[str, int]] = set()
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
@@ -111,39 +122,61 @@
             and not (job.spec.kind is Kind.GANG and job.live_count > 0)
         ]
 
-        def order(job: Job) -> tuple[bool, bool, float, float]:
+        def order(job: Job) -> tuple[bool, bool, bool, float, float]:
             production, guaranteed, _ = self.rank(job)
-            return not production, not guaranteed, self.aims.due(job, now, guaranteed), job.order
+            if self.overdue(job, now):  # oldest first; otherwise those past all aims would wait for ever
+                return not production, False, False, job.waiting_since, job.order
+            return not production, True, not guaranteed, self.aims.due(job, now, guaranteed), job.order
 
         return sorted(ready, key=order)
 
     # -- one pass --------------------------------------------------------------------------
 
     def run(self, now: float) -> list[Live]:
-        """Start what fits; returns the new attempts."""
+        """Start what fits; returns the new attempts. What still waits afterwards is in ``waiting``."""
         self.rooms = Rooms()
         self.find_guaranteed()
-        self.usable = [m for m in self.fleet.machines.values() if self.fleet.usable(m, now)]
         self.holds = {name: hold for name, hold in self.holds.items() if hold.until > now}
         self.strays = set()
         self.stray_use = {}
-        for machine in self.fleet.machines.values():
-            for (job_id, index), need in machine.strays.items():
-                self.strays.add((job_id, index))
-                job = self.book.jobs.get(job_id)
-                if job is not None:
-                    team = job.spec.team
-                    self.stray_use[team] = self.stray_use.get(team, NOTHING) + need
+        self.usable = []
+        self.kinds = {}
+        self.waiting = self.queue(now)
         started: list[Live] = []
-        if not self.usable:
+        for machine in self.fleet.machines.values():
+            if machine.strays:
+                self._count_strays(machine)
+            if self.fleet.usable(machine, now):
+                self.usable.append(machine)
+                self.kinds[machine.type.name] = machine.type
+        if not self.usable or not self.waiting:
             return started
-        for job in self.queue(now):
+        self._find_open()
+        self.hopeless = {}
+        for job in self.waiting:
             if job.spec.kind is Kind.GANG:
                 started += self.place_gang(job, now)
             else:
                 started += self.place_each(job, now)
+        self.waiting = [job for job in self.waiting if job.waiting > 0]
         return started
 
+    def _count_strays(self, machine: Machine) -> None:
+        for (job_id, index), need in machine.strays.items():
+            self.strays.add((job_id, index))
+            job = self.book.jobs.get(job_id)
+            if job is not None:
+                team = job.spec.team
+                self.stray_use[team] = self.stray_use.get(team, NOTHING) + need
+
+    def _find_open(self) -> None:
+        """The machines with room for the smallest waiting task; on a full fleet that is a handful."""
+        needs = [job.spec.need for job in self.waiting]
+        least = Amount(
+            min(need.cpus for need in needs), min(need.gpus for need in needs), min(need.memory for need in needs)
+        )
+        self.open = [machine for machine in self.usable if least.fits(self.rooms.of(machine))]
+
     def allowed_now(self, job: Job, count: int) -> bool:
         """Whether the team's limit has room for ``count`` more tasks, possibly-there ones counted."""
         team = self.teams[job.spec.team]
@@ -167,14 +200,14 @@
         return cost
 
     def candidates(self, job: Job, zone: str | None) -> list[Machine]:
-        """Usable machines that the job may use at all."""
+        """Usable machines with room that the job may use."""
         spec = job.spec
         return [
             machine
-            for machine in self.usable
-            if spec.allows(machine.type.name, machine.zone, machine.spot)
+            for machine in self.open
+            if spec.need.fits(self.rooms.of(machine))
+            and spec.allows(machine.type.name, machine.zone, machine.spot)
             and (zone is None or machine.zone == zone)
-            and spec.need.fits(self.rooms.of(machine))
             and self.free_for(job, machine)
         ]
 
@@ -183,15 +216,16 @@
         hold = self.holds.get(machine.name)
         return hold is None or hold.job == job.spec.id
 
-    def choose(self, job: Job, zone: str | None, counts: dict[str, int]) -> Machine | None:
-        """The best machine for one more task, given the tasks per zone."""
-        cap = job.spec.zone_cap()
-        fitting = [
-            machine
-            for machine in self.candidates(job, zone)
-            if not job.spec.spread or counts.get(machine.zone, 0) < cap
-        ]
-        return min(fitting, key=lambda machine: (self.cost(job, machine), machine.name), default=None)
+    def by_cost(self, job: Job, zone: str | None) -> list[tuple[float, str, Machine]]:
+        """Candidates as a heap; only the machine taken from it changes its cost by that."""
+        heap = [(self.cost(job, machine), machine.name, machine) for machine in self.candidates(job, zone)]
+        heapify(heap)
+        return heap
+
+    def again(self, job: Job, machine: Machine, heap: list[tuple[float, str, Machine]]) -> None:
+        """Put a machine back after a task was placed on it, if one more fits."""
+        if job.spec.need.fits(self.rooms.of(machine)):
+            heappush(heap, (self.cost(job, machine), machine.name, machine))
 
     def fixed_zone(self, job: Job, counts: dict[str, int]) -> str | None:
         """The zone where further tasks must go, when others are there already."""
@@ -199,24 +233,45 @@
 
     def place_each(self, job: Job, now: float) -> list[Live]:
         """Tasks of an array or replicas, one by one."""
-        counts = job.zone_counts(self.fleet)
-        if "?" in counts and (job.spec.one_zone or job.spec.spread):
+        spec = job.spec
+        kind = (spec.need, spec.types, spec.zone, spec.spot)
+        if kind in self.hopeless and not self.has_hold(job):
+            return []
+        counts = job.zone_counts(self.fleet) if spec.one_zone or spec.spread else {}
+        if "?" in counts:
             return []  # a task is somewhere that is not known yet
-        started = []
+        started: list[Live] = []
+        if not self.allowed_now(job, 1):
+            return started
+        heap = self.by_cost(job, self.fixed_zone(job, counts))
+        cap = spec.zone_cap()
         for index in job.next_waiting(ARRAY_BATCH):
-            if (job.spec.id, index) in self.strays:
+            if (spec.id, index) in self.strays:
                 continue
             if not self.allowed_now(job, 1):
                 break
-            machine = self.choose(job, self.fixed_zone(job, counts), counts)
-            if machine is None:
+            while heap and (
+                (spec.spread and counts.get(heap[0][2].zone, 0) >= cap)
+                or (spec.one_zone and counts and heap[0][2].zone not in counts)
+            ):
+                heappop(heap)
+            if not heap:
+                if not counts and not job.avoid:
+                    self.hopeless[kind] = 1
                 break
-            self.rooms.take(machine, job.spec.need)
-            counts[machine.zone] = counts.get(machine.zone, 0) + 1
+            machine = heappop(heap)[2]
+            self.rooms.take(machine, spec.need)
+            if spec.one_zone or spec.spread:
+                counts[machine.zone] = counts.get(machine.zone, 0) + 1
             started.append(self.book.start(job, index, machine, job.attempt_for(index), now))
+            self.again(job, machine, heap)
         job.advance()
         return started
 
+    def has_hold(self, job: Job) -> bool:
+        """Whether machines are held for the job."""
+        return any(hold.job == job.spec.id for hold in self.holds.values())
+
     def gang_zones(self, job: Job) -> list[str | None]:
         """The zones to try for a gang; None stands for all together."""
         if not job.spec.one_zone:
@@ -226,22 +281,23 @@
     def place_gang(self, job: Job, now: float) -> list[Live]:
         """All tasks of a gang or none."""
         spec = job.spec
+        kind = (spec.need, spec.types, spec.zone, spec.spot, spec.one_zone)
+        if spec.tasks >= self.hopeless.get(kind, MANY) and not self.has_hold(job):
+            return self.keep_room(job, now)
         if any(key[0] == spec.id for key in self.strays) or not self.allowed_now(job, spec.tasks):
             return []
         best: tuple[float, list[Machine]] | None = None
         for zone in self.gang_zones(job):
             chosen: list[Machine] = []
-            counts: dict[str, int] = {}
             worst = total = 0.0
-            for _ in range(spec.tasks):
-                machine = self.choose(job, zone, counts)
-                if machine is None:
-                    break
+            heap = self.by_cost(job, zone)
+            while heap and len(chosen) < spec.tasks:
+                price, _, machine = heappop(heap)
                 worst = max(worst, machine.fetch_wait(spec))
-                total += self.cost(job, machine)
+                total += price
                 self.rooms.take(machine, spec.need)
-                counts[machine.zone] = counts.get(machine.zone, 0) + 1
                 chosen.append(machine)
+                self.again(job, machine, heap)
             for machine in chosen:
                 self.rooms.give(machine, spec.need)
             if len(chosen) == spec.tasks:
@@ -249,15 +305,79 @@
                 if best is None or price < best[0]:
                     best = (price, chosen)
         if best is None:
-            return []
+            self.hopeless[kind] = min(spec.tasks, self.hopeless.get(kind, MANY))
+            return self.keep_room(job, now)
         attempt = job.attempt_for(0)
         started = []
         for index, machine in enumerate(best[1]):
             self.rooms.take(machine, spec.need)
+            self.holds.pop(machine.name, None)
             started.append(self.book.start(job, index, machine, attempt, now))
         job.advance()
         return started
 
+    # -- room kept for what has waited long ------------------------------------------------
+
+    def overdue(self, job: Job, now: float) -> bool:
+        """Whether the job has waited so long that it goes first and room is kept for it."""
+        return now - job.waiting_since > self.keep_after * (1 if job.live_count == 0 else 2)
+
+    def keep_room(self, job: Job, now: float) -> list[Live]:
+        """Hold machines for a gang that has waited long, until enough of them are free at once.
+
+        Smaller jobs took each machine as it came free or up, so that a large gang never saw all it
+        needs at one time. What runs on the machines ends by itself or is displaced where the rules of
+        displacement allow it; what boots is filled in as it comes up. The result is always empty:
+        nothing has been placed.
+        """
+        spec = job.spec
+        if not self.overdue(job, now) or not self.allowed_now(job, spec.tasks):
+            return []
+        mine = {name for name, hold in self.holds.items() if hold.job == spec.id}
+        if 2 * (len(self.holds) - len(mine) + spec.tasks) > len(self.usable) and len(self.holds) > len(mine):
+            return []  # others' kept room already is a large part of the fleet: one after the other
+        best: tuple[float, list[Machine]] | None = None
+        for zone in self.gang_zones(job):
+            slots: list[tuple[float, bool, str, Machine]] = []
+            for machine in self.usable:
+                if (zone is not None and machine.zone != zone) or not self.free_for(job, machine):
+                    continue
+                if spec.allows(machine.type.name, machine.zone, machine.spot) and spec.need.fits(machine.type.size):
+                    wait = self.room_in(machine, spec.need, now)
+                    slots.append((wait, machine.name not in mine, machine.name, machine))
+            slots.sort(key=lambda slot: slot[:3])
+            chosen = slots[: spec.tasks]
+            if chosen:
+                price = (len(chosen) < spec.tasks, chosen[-1][0] - 5 * self.patience * sum(not s[1] for s in chosen))
+                rank = price[0] * 1e6 + price[1]
+                if best is None or rank < best[0]:
+                    best = (rank, [slot[3] for slot in chosen])
+        for name in mine:
+            del self.holds[name]
+        if best is not None:
+            for machine in best[1]:
+                self.holds[machine.name] = Hold(spec.id, now + 2 * self.patience)
+        return []
+
+    def room_in(self, machine: Machine, need: Amount, now: float) -> float:
+        """Seconds until the machine is likely to have this room, by the owners' estimates."""
+        room = self.rooms.of(machine)
+        if need.fits(room):
+            return 0.0
+        ends = []
+        for live in self.book.held.get(machine.name, {}).values():
+            left = live.job.spec.estimate - (now - (live.running_since or now))
+            if live.stop is not None:
+                left = self.patience
+            elif live.job.spec.kind is Kind.SERVICE:
+                left = LONG_S
+            ends.append((max(left, self.patience), live.job.spec.need))
+        for wait, amount in sorted(ends, key=lambda end: end[0]):
+            room = room + amount
+            if need.fits(room):
+                return wait
+        return LONG_S
+
     # -- preemption ------------------------------------------------------------------------
 
     def may_stop(self, victim: Live, job: Job) -> bool:
@@ -292,10 +412,15 @@
         already made most machines fetch images instead of running tasks.
         """
         spec = job.spec
-        if any(hold.job == spec.id for hold in self.holds.values()):
+        overdue = self.overdue(job, now)
+        if self.stopping_for(job):
             return []  # earlier victims are still on their way out
+        if not overdue and spec.priority is not Priority.PRODUCTION:
+            left = self.aims.due(job, now, spec.id in self.guaranteed) - now
+            if left < 0 or left > self.fleet.lease_s + 4 * self.patience + 2 * self.longest_fetch(job):
+                return []  # a plan, dear to make, would be dropped below
         plan = self.plan_room(job, now, math.inf)
-        if spec.priority is not Priority.PRODUCTION:
+        if not overdue and spec.priority is not Priority.PRODUCTION:
             left = self.aims.due(job, now, spec.id in self.guaranteed) - now - self.delay_of(plan)
             if fetch_of(job, plan) > left:
                 plan = self.plan_room(job, now, left)
@@ -303,6 +428,19 @@
                 return []  # room may still come by itself
         return self.displace(job, plan, now)
 
+    def stopping_for(self, job: Job) -> bool:
+        """Whether work is on its way out on a machine held for the job."""
+        return any(
+            live.stop is not None
+            for name, hold in self.holds.items()
+            if hold.job == job.spec.id
+            for live in self.book.held.get(name, {}).values()
+        )
+
+    def longest_fetch(self, job: Job) -> float:
+        """Seconds for the job's image on the slowest type of machine in use."""
+        return max((fetch_time(job.spec, kind) for kind in self.kinds.values()), default=0.0)
+
     def delay_of(self, plan: list[tuple[Machine, list[Live]]]) -> float:
         """Seconds until the victims of a plan have saved and are gone."""
         saves = [live.job.spec.save for _, stopped in plan for live in stopped if live.job.spec.checkpoint > 0]
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -131,49 +131,55 @@
 def _suits(job: Job, one: Bin, zone: str | None) -> bool:
     offer = one.offer
     return (
-        job.spec.allows(offer.type, offer.zone, offer.spot)
+        job.spec.need.fits(one.room)
         and (zone is None or offer.zone == zone)
-        and job.spec.need.fits(one.room)
+        and job.spec.allows(offer.type, offer.zone, offer.spot)
     )
 
 
 def _each_bins(job: Job, count: int, bins: list[Bin], market: Market, aims: Aims, now: float) -> list[Bin]:
+    need = job.spec.need
     added: list[Bin] = []
-    for _ in range(count):
-        fitting = [one for one in bins + added if _suits(job, one, None)]
-        if fitting:
-            one = min(fitting, key=lambda one: one.room.gpus)
-        else:
-            offers = market.offers(job, aims, now)
-            if not offers:
-                break
-            one = Bin(offers[0], market.types[offers[0].type].size)
-            added.append(one)
-        one.room = one.room - job.spec.need
+    for one in sorted((one for one in bins if _suits(job, one, None)), key=lambda one: one.room.gpus):
+        while count and need.fits(one.room):
+            one.room = one.room - need
+            count -= 1
+    offers = market.offers(job, aims, now) if count else []
+    while count and offers:
+        one = Bin(offers[0], market.types[offers[0].type].size)
+        while count and need.fits(one.room):
+            one.room = one.room - need
+            count -= 1
+        added.append(one)
     return added
 
 
 def _gang_bins(
     job: Job, count: int, bins: list[Bin], rooms: list[Bin], market: Market, aims: Aims, now: float
 ) -> list[Bin]:
+    need = job.spec.need
     offers = market.offers(job, aims, now)
+    fitting = [one for one in rooms + bins if _suits(job, one, None)]
     zones: list[str | None] = [None]
     if job.spec.one_zone:
-        zones = list(dict.fromkeys([offer.zone for offer in offers] + [one.offer.zone for one in bins + rooms]))
+        zones = list(dict.fromkeys([offer.zone for offer in offers] + [one.offer.zone for one in fitting]))
     best: tuple[float, list[tuple[Bin, int]], Offer | None, int] | None = None
     for zone in zones:
         here = [offer for offer in offers if zone is None or offer.zone == zone]
         takes: list[tuple[Bin, int]] = []
         missing = count
-        for one in rooms + bins:
-            slots = 0
-            room = one.room
-            while slots < missing and _suits(job, Bin(one.offer, room), zone):
-                room = room - job.spec.need
+        for one in fitting:
+            if zone is not None and one.offer.zone != zone:
+                continue
+            slots = 1
+            room = one.room - need
+            while slots < missing and need.fits(room):
+                room = room - need
                 slots += 1
-            if slots:
-                takes.append((one, slots))
-                missing -= slots
+            takes.append((one, slots))
+            missing -= slots
+            if not missing:
+                break
         if missing and not here:
             continue
         price = missing * market.price(here[0]) if missing else 0.0
@@ -182,7 +188,7 @@
     if best is None:
         return []
     for one, slots in best[1]:
-        one.room = one.room - job.spec.need.times(slots)
+        one.room = one.room - need.times(slots)
     added: list[Bin] = []
     offer = best[2]
     if offer is not None:
@@ -190,8 +196,8 @@
         missing = best[3]
         while missing:
             new = Bin(offer, size)
-            while missing and job.spec.need.fits(new.room):
-                new.room = new.room - job.spec.need
+            while missing and need.fits(new.room):
+                new.room = new.room - need
                 missing -= 1
             added.append(new)
     return added
--- a/src/passrock/settings.py
+++ b/src/passrock/settings.py
@@ -47,6 +47,8 @@
     buffer_share: float = 1.0
     idle_boot_ratio: float = 0.4
     idle_floor_s: float = 8.0
+    begin_within_s: float = 240.0
+    keep_room_ratio: float = 0.3
     socket_share: float = 0.85
 
 
@@ -58,6 +60,8 @@
     "buffer_share": (0.0, 1.0),
     "idle_boot_ratio": (0.0, 20.0),
     "idle_floor_s": (0.0, 3600.0),
+    "begin_within_s": (10.0, 86_400.0),
+    "keep_room_ratio": (0.02, 1.0),
     "socket_share": (0.2, 0.95),
 }
 
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -13,6 +13,7 @@
         self.told = {}
         self.accepted = set()
         self.cancel_asked = set()
+        self.unanswered_since = {}
 
     def break_rule(self, rule, detail):
         self.broken.append((round(self.world.now(), 3), rule, detail))
@@ -72,6 +73,14 @@
                 self.break_rule("ran_cancelled", f"{job}/{index} still on {places}")
                 self.told_cancelled[job] = now
 
+    def asked(self, job):
+        """A user asks about an accepted job; once troubles are over it may not go unanswered for 75 s."""
+        now = self.world.now()
+        since = max(self.unanswered_since.setdefault(job, now), self.world.trouble_until)
+        if now - since > 75.0:
+            self.break_rule("forgotten", f"{job} unanswered since {since}")
+            self.unanswered_since[job] = now
+
     # -- answers -------------------------------------------------------------------------------------
 
     def answered(self, job, asked_at, status, body, submission=False):
@@ -82,6 +91,7 @@
             self.break_rule("forgotten", f"{job} unknown")
         if status not in (200, 201):
             return
+        self.unanswered_since.pop(job, None)
         if job not in self.world.specs:
             self.break_rule("invented", job)
             return
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -41,7 +41,7 @@
 TEAMS = 3
 
 
-def node_table(number, count, zones):
+def node_table(number, count, zones, teams=TEAMS, guarantee=4.0, limit=LIMITS["gpus_max"]):
     """A controller's settings as the platform would write them."""
     return {
         "node": f"n{number}",
@@ -58,8 +58,8 @@
             "zones": list(zones),
             "time_bound_ms": 5.0,
             "teams": [
-                {"name": f"t{i}", "cpus": 0.0, "cpus_max": 0.0, "gpus": 4.0, "gpus_max": LIMITS["gpus_max"]}
-                for i in range(TEAMS)
+                {"name": f"t{i}", "cpus": 0.0, "cpus_max": 0.0, "gpus": guarantee, "gpus_max": limit}
+                for i in range(teams)
             ],
             "workers": {k: v for k, v in LIMITS.items() if k != "gpus_max"},
             "state": {"rps": 100.0, "write_rps": 40.0, "value_kb": 4.0, "txn_ops": 12},
@@ -134,7 +134,9 @@
         self.world, self.number, self.name = world, number, f"n{number}"
         self.alive, self.refused = True, False
         faults = []
-        table = node_table(number, world.node_count, world.zones)
+        table = node_table(
+            number, world.node_count, world.zones, world.teams, world.guarantee, world.limits["gpus_max"]
+        )
         settings = parse_settings(table, Operator(), faults)
         assert not faults, faults
         self.zone = settings.zone
@@ -161,21 +163,37 @@
 class World:
     """Everything, driven by one seeded random source."""
 
-    def __init__(self, seed, zones=("a", "b", "c"), node_count=3, machines=6, late=0.0, lost=0.0):
+    def __init__(
+        self,
+        seed,
+        zones=("a", "b", "c"),
+        node_count=3,
+        machines=6,
+        late=0.0,
+        lost=0.0,
+        copies=0.0,
+        teams=TEAMS,
+        guarantee=4.0,
+        limit=LIMITS["gpus_max"],
+        capacity=(6, 3),
+    ):
         self.rng = random.Random(seed)
         self.zones = zones
         self.node_count = node_count
-        self.limits = dict(LIMITS)
+        self.teams, self.guarantee = teams, guarantee
+        self.limits = dict(LIMITS, gpus_max=limit)
         self.late_share, self.lost_share = late, lost
         self.specs, self.run_times, self.progress = {}, {}, {}
         self.completed = set()
         self.workers, self.zone_of = {}, {}
         self.cuts = []  # (kind, name, until)
+        self.copy_share = copies  # of reports that arrive once more, much later
+        self.trouble_until = 0.0
         self.checker = Checker(self)
         self.state = StateService()
         types = {"box": dict(BOX, branches=list(zones))}
-        capacity = {("box", zone, spot): 3 if spot else 6 for zone in zones for spot in (True, False)}
-        self.cloud = CloudService(types, capacity, self.rng, 3.0, self._machine_up, self._machine_gone)
+        rooms = {("box", zone, spot): capacity[spot] for zone in zones for spot in (True, False)}
+        self.cloud = CloudService(types, rooms, self.rng, 3.0, self._machine_up, self._machine_gone)
         self.tasks = set()
         self.nodes = {}
         self.done_users = 0
@@ -255,12 +273,18 @@
     # -- network -------------------------------------------------------------------------------------
 
     def peers_cut(self, one, other):
-        return any(kind == "peers" and until > self.now() and name in (one, other) for kind, name, until in self.cuts)
+        return any(
+            kind == "peers" and until > self.now() and name in (one, other, "all") for kind, name, until in self.cuts
+        )
 
     def cut_until(self, worker):
         ends = [until for kind, name, until in self.cuts if kind == "machine" and name == worker.name]
         return max(ends, default=0.0)
 
+    def is_deaf(self, worker):
+        """Whether reports leave the machine while nothing reaches it."""
+        return any(kind == "deaf" and name == worker.name and until > self.now() for kind, name, until in self.cuts)
+
     async def to_node(self, worker, name, body, timeout):
         """A worker's report and its answer."""
         async with asyncio.timeout(timeout):
@@ -269,14 +293,19 @@
             if until > self.now():  # held back, and delivered after the worker has given it up
                 asyncio.get_running_loop().call_at(until + self.rng.uniform(0, 1), self._late_report, name, body)
                 await asyncio.Event().wait()
+            if self.copy_share and self.rng.random() < self.copy_share:
+                # a copy comes later, from a second to well over a lease, perhaps to another node or process
+                delay = self.rng.choice([1.0, 5.0, 2.5 * self.limits["lease_s"]]) * self.rng.uniform(0.5, 1.5)
+                target = self.rng.choice([name, *self.nodes])
+                asyncio.get_running_loop().call_later(delay, self._late_report, target, body)
             response = await self._ask(name, Request("POST", "/checkin", body))
             await asyncio.sleep(self.rng.uniform(0.001, 0.01))
-            if self.cut_until(worker) > self.now():
+            if self.cut_until(worker) > self.now() or self.is_deaf(worker):
                 await asyncio.Event().wait()
             return response.status, cbor2.loads(response.body) if response.body else {}
 
     def _late_report(self, name, body):
-        if name in self.nodes:
+        if name in self.nodes and self.nodes[name].alive:
             result = self.nodes[name].node.handle(Request("POST", "/checkin", body))
             if not isinstance(result, Response):
                 self.spawn(result)
@@ -364,6 +393,7 @@
         while True:
             await asyncio.sleep(self.rng.uniform(1.0, 3.0))
             at = self.now()
+            self.checker.asked(job)
             if cancel_after is not None and at - began > cancel_after:
                 self.checker.cancel_asked.add(job)
                 status, answer = await self.ask("POST", f"/v2/runs/{job}/withdraw", b"", 2.0)
@@ -403,6 +433,21 @@
         await asyncio.sleep(for_s)
         sim.refused = False
 
+    async def isolate(self, name, for_s):
+        """A controller loses the state service and its peers, and keeps its workers and users."""
+        self.cuts.append(("peers", name, self.now() + for_s))
+        await self.refuse(name, for_s)
+
+    async def elections(self, count):
+        """Whoever leads ends and is back within a fraction of a second, again and again, also while electing."""
+        for _ in range(count):
+            alive = [name for name, sim in self.nodes.items() if sim.alive]
+            leading = [name for name in alive if self.nodes[name].node.leadership.leading]
+            victim = self.rng.choice(leading or alive) if alive else None
+            if victim is not None:
+                self.spawn(self.crash([victim], self.rng.uniform(0.02, 0.4)))
+            await asyncio.sleep(self.rng.uniform(0.05, 1.0))
+
     async def cloud_trouble(self, for_s):
         """The cloud answers nothing, and for longer its machines boot badly."""
         self.cloud.outage, self.cloud.boot_fails = True, 0.5
@@ -419,6 +464,7 @@
         rng = self.rng
         kind = rng.choice(
             ["crash", "crash_all", "outage", "refuse", "cut", "hang", "take", "notice", "sick", "peers", "cloud"]
+            + ["deaf", "isolate", "elections", "all_peers"]
         )
         worker = self.some_worker()
         names = list(self.nodes)
@@ -431,6 +477,14 @@
             self.spawn(self.outage(rng.uniform(2.0, 20.0)))
         elif kind == "refuse" and alive:
             self.spawn(self.refuse(rng.choice(alive), rng.uniform(3.0, 25.0)))
+        elif kind == "isolate" and alive:
+            self.spawn(self.isolate(rng.choice(alive), rng.uniform(3.0, 25.0)))
+        elif kind == "elections" and len(alive) == len(names):
+            self.spawn(self.elections(rng.randint(2, 6)))
+        elif kind == "all_peers":
+            self.cuts.append(("peers", "all", self.now() + rng.uniform(2.0, 25.0)))
+        elif worker is not None and kind == "deaf":
+            self.cuts.append(("deaf", worker.name, self.now() + rng.uniform(5.0, 60.0)))
         elif kind == "cloud":
             self.spawn(self.cloud_trouble(rng.uniform(5.0, 25.0)))
         elif kind == "peers":
@@ -464,6 +518,7 @@
                 at, lambda s=spec, c=cancel: self.spawn(self.user(s, self.rng.uniform(2.0, 15.0), c))
             )
         if gap < math.inf:
+            self.trouble_until = duration * 0.7 + 60.0  # the longest fault lasts a minute
             self.spawn(self.faults(duration * 0.7, gap))
         await asyncio.sleep(duration)
         return self.checker
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -48,8 +48,8 @@
 
     def __init__(self, machines=(("m1", "a", False),), chunk=50):
         self.book = Book(chunk)
-        self.fleet = Fleet(1.0, 10.0, 0.36, 0.0)
-        self.placer = Placer(self.book, self.fleet, TEAMS, {}, AIMS)
+        self.fleet = Fleet(1.0, 10.0, 0.36, 0.0, TERM)
+        self.placer = Placer(self.book, self.fleet, TEAMS, {}, AIMS, keep_after=50.0)
         self.stamp = 0
         for name, zone, spot in machines:
             self.up(name, zone, spot)
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -32,7 +32,8 @@
     ("seed", "world"),
     [(seed, {}) for seed in range(10, 16)]
     + [(seed, {"late": 0.05, "lost": 0.05}) for seed in range(20, 26)]
-    + [(seed, {"zones": ("a",), "late": 0.03}) for seed in range(30, 33)],
+    + [(seed, {"zones": ("a",), "late": 0.03}) for seed in range(30, 33)]
+    + [(seed, {"copies": 0.1, "late": 0.03, "lost": 0.03}) for seed in range(70, 76)],
 )
 def test_rules_hold_on_days_of_faults(seed, world):
     checker, done = play(seed, **world)
