--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,6 +4,7 @@
 
 import cbor2
 
+from passrock.io.http_server import Request
 from passrock.io.state import Refused
 from passrock.wire.state import Put
 from standins import virtual_loop
@@ -106,3 +107,83 @@
         return status, stale[0], fresh[0], unknown[0]
 
     assert virtual_loop.run(main()) == (201, 503, 200, 404)
+
+
+def test_a_machine_that_no_answer_reaches_is_freed_by_evidence_and_replaced():
+    """Its reports look healthy: only a token it can't have without an answer tells it from a sound one."""
+
+    async def main():
+        world, _ = await settled(65, jobs=3)
+        deaf = next(iter(dict(world.checker.present[("wk-000000", 0)])))
+        world.cuts.append(("deaf", deaf, world.now() + 300.0))
+        world.cloud.outage = True  # no deletion helps at first: the unanswered lease has to end
+        await asyncio.sleep(2.5 * world.limits["lease_s"])
+        moved = dict(world.checker.present[("wk-000000", 0)])
+        world.cloud.outage = False
+        await asyncio.sleep(30.0)
+        return world, deaf, moved
+
+    world, deaf, moved = virtual_loop.run(main())
+    assert moved and deaf not in moved and deaf not in world.workers
+    assert world.checker.broken == []
+
+
+def test_a_new_machine_gets_nothing_before_it_shows_the_token():
+    """One that is deaf from its first report on, and late copies of reports of a machine that is gone."""
+
+    async def main():
+        world, leader = await settled(66)
+        held = world.workers.copy()
+        ghost = cbor2.loads(next(iter(held.values())).report()) | {"stack": "host-999999", "volumes": []}
+        node = world.nodes[leader].node
+        answer = node.handle(Request("POST", "/checkin", cbor2.dumps(ghost | {"warrant": 0})))
+        for number in range(20, 26):
+            spec = world.job(number, format="service", precedence="prod", loanS=0.0)
+            world.spawn(world.user(spec, cancel_after=1e9))
+        await asyncio.sleep(8.0)
+        placed = node.term.book.held.get("host-999999")
+        await asyncio.sleep(30.0)
+        again = node.handle(Request("POST", "/checkin", cbor2.dumps(ghost | {"accession": 10**6})))
+        return world, answer.status, placed, again.status, "host-999999" in node.term.fleet.machines
+
+    world, first, placed, later, known = virtual_loop.run(main())
+    assert (first, placed, later, known) == (200, None, 503, False)
+    assert world.checker.broken == []
+
+
+def test_a_leader_with_only_its_workers_stops_and_misleads_nobody():
+    async def main():
+        world, old = await settled(67, jobs=4)
+        starts = world.checker.starts
+        world.spawn(world.isolate(old, 40.0))
+        node = world.nodes[old].node
+        last_200 = 0.0
+        redirects, health = set(), set()
+        for _ in range(300):
+            await asyncio.sleep(0.1)
+            body = cbor2.dumps({**cbor2.loads(next(iter(world.workers.values())).report()), "stack": "host-888888"})
+            answer = node.handle(Request("POST", "/checkin", body))
+            if answer.status == 200:
+                last_200 = world.now()
+            elif world.now() > 32.0:
+                redirects.add(answer.body and cbor2.loads(answer.body).get("returnDesk"))
+                health.add(node.handle(Request("GET", "/up", b"")).status)
+        return world, old, starts, last_200, redirects, health, leaders(world)
+
+    world, old, starts, last_200, redirects, health, now = virtual_loop.run(main())
+    assert last_200 < 20.0 + world.limits["lease_s"] / 2
+    assert redirects == {None} and health == {503}
+    assert now and now != [old]
+    assert world.checker.starts == starts and world.checker.broken == []  # its workers found the new leader in time
+
+
+def test_restarts_within_a_fraction_of_a_second_also_while_electing():
+    async def main():
+        world, _ = await settled(68, jobs=4)
+        starts = world.checker.starts
+        await world.elections(25)
+        await asyncio.sleep(5.0)
+        return world, starts, leaders(world)
+
+    world, starts, now = virtual_loop.run(main())
+    assert len(now) == 1 and world.checker.starts == starts and world.checker.broken == []
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,7 @@
 from passrock.core.checkin import Checkins
 from passrock.core.fleet import Op, TaskState
 from passrock.core.jobs import Book, chunk_tasks, new_record
-from passrock.core.model import Amount, Kind, Priority, Team
+from passrock.core.model import NOTHING, Amount, Kind, Priority, Team
 from passrock.core.placement import stop_softly
 from passrock.core.renting import Market, Offer, plan_rentals, plan_returns
 from tables import AIMS, BOX, TEAMS, TERM, Desk, report, row, spec
@@ -203,6 +203,51 @@
     assert bool(desk.placer.make_room(waiting, 1.0)) is displaced
 
 
+# reports in a row (session, seq, token, whether the launch is listed), whether the machine may be used after them
+HEARING = [
+    ("a first report shows no token of this term", [(1, 1, 0, False)], False),
+    ("the next one does", [(1, 1, 0, False), (1, 2, TERM, False)], True),
+    ("a new session though it was answered, once", [(1, 1, TERM, False), (2, 2, TERM, False)], True),
+    ("and again", [(1, 1, TERM, False), (2, 2, TERM, False), (3, 3, TERM, False)], False),
+    ("launches without effect", [(1, n, TERM, False) for n in (1, 2, 3, 4)], False),
+    ("a launch that took effect at last", [(1, 1, TERM, False), (1, 2, TERM, False), (1, 3, TERM, True)], True),
+]
+
+
+@pytest.mark.parametrize(("name", "told", "used"), HEARING, ids=[case[0] for case in HEARING])
+def test_only_machines_that_hear_are_used(name, told, used):
+    desk = Desk([])
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    desk.job()
+    for step, (session, seq, token, listed) in enumerate(told):
+        handle(desk, checkins, float(step), session=session, seq=seq, token=token, tasks=[row()] if listed else [])
+        desk.fleet.machines["m1"].answered = float(step)
+        desk.run(float(step))
+        desk.commit()
+    assert desk.fleet.usable(desk.fleet.machines["m1"], float(len(told))) is used
+
+
+def test_room_is_kept_for_a_gang_that_has_waited_long():
+    """Small tasks took each machine as it came free, and the gang never saw two at once."""
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    small = [desk.job(n, team="t1", need=Amount(10, 2, 50), job_class="soon") for n in (1, 2)]
+    assert len(desk.run(0.0)) == 2
+    desk.job(9, kind=Kind.GANG, tasks=2, need=Amount(10, 2, 50), one_zone=True, at=1.0)
+    for turn in range(3, 9):  # one small task ends at a time, and another one waits
+        now = 10.0 * turn
+        desk.refresh(now)
+        for name, machine in desk.fleet.machines.items():
+            machine.used = BOX.size if desk.book.held.get(name) else NOTHING
+        desk.book.completed(next(small.pop(0).lives()))
+        small.append(desk.job(turn, team="t1", need=Amount(10, 2, 50), job_class="soon", at=now))
+        for name, machine in desk.fleet.machines.items():
+            machine.used = BOX.size if desk.book.held.get(name) else NOTHING
+        if {job for job, _, _ in desk.run(now)} == {"wk-9"}:
+            break
+        small = [job for job in small if job.live_count]
+    assert now == 70.0  # the first end after keep_after kept one machine, the second made it two
+
+
 def test_stops_save_when_there_is_something_to_save():
     desk, job, checkins = placed_desk(checkpoint=5.0, save=3.0)
     live = next(job.lives())
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -5,6 +5,7 @@
 import cbor2
 import pytest
 
+from passrock.core.checkin import Checkins
 from passrock.core.fleet import Fleet
 from passrock.io.http_server import Request, Response
 from standins import virtual_loop
@@ -76,6 +77,38 @@
     assert "ran_twice" in rules
 
 
+def test_checker_catches_answers_that_are_not_counted_as_renewals(monkeypatch):
+    """A leader that counts a lease from what the machine showed, not from what it was answered."""
+
+    def shown(self, machine, now, fenced):
+        return fenced is not None and machine.up and now - max(machine.up_since, fenced) > self.lease_s
+
+    monkeypatch.setattr(Fleet, "lease_over", shown)
+    rules = {rule for seed in (82, 84) for _, rule, _ in play(seed, gap=8.0, copies=0.3)[0].broken}
+    assert "ran_twice" in rules
+
+
+def test_checker_catches_copies_taken_for_news(monkeypatch):
+    """A leader that believes any report, however old, starts tasks twice when late copies come."""
+    observe, handle = Fleet.observe, Checkins.handle
+
+    def believe(self, report, kind, now):
+        machine = self.machines.get(report.machine)
+        if machine is not None and (report.session, report.seq) <= (machine.session, machine.seq):
+            machine.session, machine.seq = report.session, report.seq - 1
+        return observe(self, report, kind, now)
+
+    def settle(self, machine, report, now, launch):
+        for live in self.book.held.get(machine.name, {}).values():
+            live.sent_seq = None if live.sent_seq is None else -1
+        return handle(self, machine, report, now, launch)
+
+    monkeypatch.setattr(Fleet, "observe", believe)
+    monkeypatch.setattr(Checkins, "handle", settle)
+    rules = {rule for seed in range(80, 90) for _, rule, _ in play(seed, gap=float("inf"), copies=0.3)[0].broken}
+    assert "ran_twice" in rules
+
+
 def test_machine_that_hangs_across_a_takeover_is_replaced():
     """The new leader knows the machine only from the list and the records; it must not wait for a report."""
 
