--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -165,7 +165,14 @@
             elif job_id not in self.book.jobs and job_id not in self.pump.removed:
                 job = self.book.load(entry.value, entry.version, steady(), time_of_day())
                 self.round_early()
-                info("job_new", job=job_id, team=job.spec.team, kind=job.spec.kind, tasks=job.spec.tasks)
+                info(
+                    "job_new",
+                    job=job_id,
+                    of=job.spec.job_class,
+                    kind=job.spec.kind,
+                    tasks=job.spec.tasks,
+                    image=job.spec.image,
+                )
                 self.poke()
         elif key.startswith(keys.CANCEL) and entry is not None:
             job_or_none = self.book.jobs.get(key[len(keys.CANCEL) :])
