--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -20,6 +20,7 @@
 TOGETHER_COST = 10.0
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
+COUNTS_S = 30.0  # a start counts for its user once the task was left to run for this long
 MANY = 1 << 30
 LONG_S = 3600.0  # for what ends when its user says so
 
@@ -380,11 +381,22 @@
 
     # -- preemption ------------------------------------------------------------------------
 
-    def may_stop(self, victim: Live, job: Job) -> bool:
+    def settled(self, victim: Live, now: float) -> bool:
+        """Whether a task, or its whole gang, has run long enough for its start to count.
+
+        Stopping a job that is still fetching, or has just begun, gave one job its start by taking those
+        of several others; the room they had fetched their images for was fetched for again.
+        """
+        mates = victim.job.lives() if victim.job.spec.kind is Kind.GANG else [victim]
+        return all(live.running_since is not None and now - live.running_since > COUNTS_S for live in mates)
+
+    def may_stop(self, victim: Live, job: Job, now: float) -> bool:
         """PROTOCOL's reasons: higher priority, or work beyond another team's guarantee."""
         other = victim.job
         if other is job or other.cancelled or self.rank(job) <= self.rank(other):
             return False
+        if job.spec.priority is not Priority.PRODUCTION and not self.settled(victim, now):
+            return False
         if other.spec.priority < job.spec.priority:
             return True
         beyond = job.spec.id in self.guaranteed and other.spec.id not in self.guaranteed
@@ -520,7 +532,7 @@
             if live.stop is not None:  # on its way out already
                 room = room + live.job.spec.need
         choice = sorted(
-            (live for live in lives if live.stop is None and self.may_stop(live, job)),
+            (live for live in lives if live.stop is None and self.may_stop(live, job, now)),
             key=lambda live: (self.rank(live.job), self.loss(live, now), live.key),
         )
         total = 0.0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -200,6 +200,10 @@
         desk.book.gone(next(waiting.lives()), 1.0)
     desk.fleet.machines["m1"].used = BOX.size
     desk.placer.run(1.0)
+    if waiting.spec.priority is not Priority.PRODUCTION:
+        assert not desk.placer.make_room(waiting, 1.0)  # a start that does not count yet is not taken back
+        for live in desk.book.held["m1"].values():
+            live.running_since = -60.0
     assert bool(desk.placer.make_room(waiting, 1.0)) is displaced
 
 
