--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -21,7 +21,6 @@
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
 COUNTS_S = 30.0  # a start counts for its user once the task was left to run for this long
-SIZE_WAIT = 0.25  # of the lease: how much later a job counts as due for each machine it asks for
 MANY = 1 << 30
 LONG_S = 3600.0  # for what ends when its user says so
 
@@ -78,9 +77,6 @@
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
         self.aims = aims
-        # users count jobs: several small ones that start in time weigh more than a large one, which gets
-        # kept room before it is late for good
-        self.size_wait = fleet.lease_s * SIZE_WAIT
         self.patience = fleet.report_s * 1.5  # until a task without anything to save has made room
 
     # -- order ---------------------------------------------------------------------------
@@ -115,12 +111,6 @@
         spec = job.spec
         return spec.priority is Priority.PRODUCTION, spec.id in self.guaranteed, int(spec.priority)
 
-    def machines_of(self, job: Job) -> float:
-        """How much of the fleet a waiting job asks for at once, in machines."""
-        if job.spec.kind is Kind.ARRAY or not self.kinds:
-            return 0.0
-        return job.waiting * min(job.spec.need.share_of(kind.size) for kind in self.kinds.values())
-
     def queue(self, now: float) -> list[Job]:
         """Jobs with tasks that may be placed now, most urgent first."""
         ready = [
@@ -137,8 +127,7 @@
             production, guaranteed, _ = self.rank(job)
             if self.overdue(job, now):  # oldest first; otherwise those past all aims would wait for ever
                 return not production, False, False, job.waiting_since, job.order
-            due = self.aims.due(job, now, guaranteed)
-            return not production, True, not guaranteed, due + self.size_wait * self.machines_of(job), job.order
+            return not production, True, not guaranteed, self.aims.due(job, now, guaranteed), job.order
 
         return sorted(ready, key=order)
 
@@ -152,8 +141,8 @@
         self.strays = set()
         self.stray_use = {}
         self.usable = []
-        self.waiting = self.queue(now)
         self.kinds = {}
+        self.waiting = self.queue(now)
         started: list[Live] = []
         for machine in self.fleet.machines.values():
             if machine.strays:
