--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -144,6 +144,13 @@
             waiting += spec.image_gb
         return waiting / self.type.fetch_rate if self.type.fetch_rate > 0 else 0.0
 
+    def fetch_harm(self, spec: Spec) -> float:
+        """Seconds that this job's image would add to the fetches under way here, which share the rate."""
+        others = len(self.fetching) - (spec.image in self.fetching)
+        if others <= 0 or spec.image in self.images or spec.image in self.fetching or self.type.fetch_rate <= 0:
+            return 0.0
+        return others * min(spec.image_gb, max(self.fetching.values())) / self.type.fetch_rate
+
 
 class Fleet:
     """All machines of one leader's term."""
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -188,7 +188,7 @@
         """How dear this machine is for a task of the job."""
         spec = job.spec
         left = (self.rooms.of(machine) - spec.need).share_of(machine.type.size)
-        cost = machine.fetch_wait(spec) + PACK_COST * left
+        cost = machine.fetch_wait(spec) + machine.fetch_harm(spec) + PACK_COST * left
         owner = self.bound.get(machine.name)
         if owner is not None and owner != spec.team:
             cost += FOREIGN_COST
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -169,6 +169,17 @@
     assert desk.run() == [("wk-2", 0, "m2")]  # the half-full one
 
 
+def test_a_fetch_under_way_is_left_alone():
+    """Two images on one machine share its rate: the second made the first one's task late."""
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    desk.fleet.machines["m2"].images["old"] = 1.0
+    desk.job(1, image="one", image_gb=20.0)
+    assert desk.run() == [("wk-1", 0, "m1")]
+    desk.job(2, image="two", image_gb=20.0, team="t1")
+    assert desk.run() == [("wk-2", 0, "m2")]
+    assert desk.fleet.machines["m1"].fetch_harm(spec(3, image="one")) == 0.0
+
+
 def test_queue_order():
     desk = Desk()
     desk.job(1, team="t1", tasks=6, job_class="late", at=0.0)
