--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -61,7 +61,8 @@
         self.checkins = Checkins(self.book, self.fleet, leadership.term)
         self.bound: dict[str, str] = {}
         keep_after = operator.begin_within_s * operator.keep_room_ratio
-        self.placer = Placer(self.book, self.fleet, settings.teams, self.bound, Aims(settings.objectives), keep_after)
+        aims = Aims(settings.objectives, keep_after)
+        self.placer = Placer(self.book, self.fleet, settings.teams, self.bound, aims)
         self.pump = Pump(state, self.book, leadership.stamp, settings.txn_ops)
         self.pump.on_final = replica.note_final
         self.pump.on_commit = self._move
--- a/src/passrock/core/aims.py
+++ b/src/passrock/core/aims.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 
 from passrock.core.jobs import Job
+from passrock.core.model import MachineType, Spec
 
+AHEAD = 1.5  # times the time until a rented machine would run a task: then a due job can't wait any more
 PAST = 1e9  # after every job that can still meet an aim
 
 
@@ -22,7 +24,8 @@
 class Aims:
     """The objectives, by class."""
 
-    def __init__(self, objectives: tuple[Objective, ...]) -> None:
+    def __init__(self, objectives: tuple[Objective, ...], keep_after: float) -> None:
+        self.keep_after = keep_after
         self._waits: dict[str, list[float]] = {}
         self._ends: dict[str, list[float]] = {}
         self._guarantees = sorted(aim.within_s for aim in objectives if aim.kind == "guarantee")
@@ -55,3 +58,24 @@
             if now < job.order + within - spec.estimate:
                 return job.order + within - spec.estimate
         return PAST + job.order
+
+    def presses(self, job: Job, kind: MachineType, now: float) -> bool:
+        """Whether the job must begin so soon that it can't wait for a cheap machine.
+
+        One without any aim left would wait for ever where none can be had.
+        """
+        return self.overdue(job, now) or self.due(job, now) - now <= AHEAD * lead_time(kind, job.spec)
+
+    def overdue(self, job: Job, now: float) -> bool:
+        """Whether the job has waited so long that it goes first and room is kept for it."""
+        return now - job.waiting_since > self.keep_after * (1 if job.live_count == 0 else 2)
+
+
+def fetch_time(spec: Spec, kind: MachineType) -> float:
+    """Seconds to fetch a job's image on a machine without it."""
+    return spec.image_gb / kind.fetch_rate if kind.fetch_rate > 0 else 0.0
+
+
+def lead_time(kind: MachineType, spec: Spec) -> float:
+    """Seconds from the request for a machine until a task of the job runs on it."""
+    return kind.boot_s + fetch_time(spec, kind)
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -8,10 +8,10 @@
 from heapq import heapify, heappop, heappush
 from typing import Any
 
-from passrock.core.aims import Aims
+from passrock.core.aims import Aims, fetch_time
 from passrock.core.fleet import Fleet, Machine, TaskState
 from passrock.core.jobs import Book, Job, Live
-from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
+from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Team
 
 # Costs are in seconds, so that they weigh against the wait for an image.
 PACK_COST = 15.0
@@ -58,9 +58,7 @@
 class Placer:
     """Places waiting tasks; one pass at a time."""
 
-    def __init__(
-        self, book: Book, fleet: Fleet, teams: dict[str, Team], bound: dict[str, str], aims: Aims, keep_after: float
-    ) -> None:
+    def __init__(self, book: Book, fleet: Fleet, teams: dict[str, Team], bound: dict[str, str], aims: Aims) -> None:
         self.book = book
         self.fleet = fleet
         self.teams = teams
@@ -72,7 +70,6 @@
         self.open: list[Machine] = []  # usable ones with room
         self.waiting: list[Job] = []  # what the last pass left, most urgent first
         self.hopeless: dict[Any, int] = {}  # kinds of tasks with the least number that found no room
-        self.keep_after = keep_after
         self.strays: set[tuple[str, int]] = set()
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
@@ -125,7 +122,7 @@
 
         def order(job: Job) -> tuple[bool, bool, bool, float, float]:
             production, guaranteed, _ = self.rank(job)
-            if self.overdue(job, now):  # oldest first; otherwise those past all aims would wait for ever
+            if self.aims.overdue(job, now):  # oldest first; otherwise those past all aims would wait for ever
                 return not production, False, False, job.waiting_since, job.order
             return not production, True, not guaranteed, self.aims.due(job, now, guaranteed), job.order
 
@@ -200,15 +197,22 @@
             cost += TOGETHER_COST
         return cost
 
-    def candidates(self, job: Job, zone: str | None) -> list[Machine]:
-        """Usable machines with room that the job may use."""
+    def candidates(self, job: Job, zone: str | None, now: float) -> list[Machine]:
+        """Usable machines with room that the job may use.
+
+        An array that may use cheap machines leaves the dear ones to jobs that may not, as long as its
+        aims leave it time: it took them for minutes, and gangs waited beside cheap room.
+        """
         spec = job.spec
+        patient = spec.spot and spec.kind is Kind.ARRAY
+        waits = {name: patient and not self.aims.presses(job, kind, now) for name, kind in self.kinds.items()}
         return [
             machine
             for machine in self.open
             if spec.need.fits(self.rooms.of(machine))
             and spec.allows(machine.type.name, machine.zone, machine.spot)
             and (zone is None or machine.zone == zone)
+            and (machine.spot or not waits[machine.type.name])
             and self.free_for(job, machine)
         ]
 
@@ -217,9 +221,9 @@
         hold = self.holds.get(machine.name)
         return hold is None or hold.job == job.spec.id
 
-    def by_cost(self, job: Job, zone: str | None) -> list[tuple[float, str, Machine]]:
+    def by_cost(self, job: Job, zone: str | None, now: float) -> list[tuple[float, str, Machine]]:
         """Candidates as a heap; only the machine taken from it changes its cost by that."""
-        heap = [(self.cost(job, machine), machine.name, machine) for machine in self.candidates(job, zone)]
+        heap = [(self.cost(job, machine), machine.name, machine) for machine in self.candidates(job, zone, now)]
         heapify(heap)
         return heap
 
@@ -235,7 +239,7 @@
     def place_each(self, job: Job, now: float) -> list[Live]:
         """Tasks of an array or replicas, one by one."""
         spec = job.spec
-        kind = (spec.need, spec.types, spec.zone, spec.spot)
+        kind = (spec.need, spec.types, spec.zone, spec.spot, spec.kind)
         if kind in self.hopeless and not self.has_hold(job):
             return []
         counts = job.zone_counts(self.fleet) if spec.one_zone or spec.spread else {}
@@ -244,7 +248,7 @@
         started: list[Live] = []
         if not self.allowed_now(job, 1):
             return started
-        heap = self.by_cost(job, self.fixed_zone(job, counts))
+        heap = self.by_cost(job, self.fixed_zone(job, counts), now)
         cap = spec.zone_cap()
         for index in job.next_waiting(ARRAY_BATCH):
             if (spec.id, index) in self.strays:
@@ -257,7 +261,7 @@
             ):
                 heappop(heap)
             if not heap:
-                if not counts and not job.avoid:
+                if not counts and not (spec.spot and spec.kind is Kind.ARRAY):
                     self.hopeless[kind] = 1
                 break
             machine = heappop(heap)[2]
@@ -291,7 +295,7 @@
         for zone in self.gang_zones(job):
             chosen: list[Machine] = []
             worst = total = 0.0
-            heap = self.by_cost(job, zone)
+            heap = self.by_cost(job, zone, now)
             while heap and len(chosen) < spec.tasks:
                 price, _, machine = heappop(heap)
                 worst = max(worst, machine.fetch_wait(spec))
@@ -319,10 +323,6 @@
 
     # -- room kept for what has waited long ------------------------------------------------
 
-    def overdue(self, job: Job, now: float) -> bool:
-        """Whether the job has waited so long that it goes first and room is kept for it."""
-        return now - job.waiting_since > self.keep_after * (1 if job.live_count == 0 else 2)
-
     def keep_room(self, job: Job, now: float) -> list[Live]:
         """Hold machines for a gang that has waited long, until enough of them are free at once.
 
@@ -332,7 +332,7 @@
         nothing has been placed.
         """
         spec = job.spec
-        if not self.overdue(job, now) or not self.allowed_now(job, spec.tasks):
+        if not self.aims.overdue(job, now) or not self.allowed_now(job, spec.tasks):
             return []
         mine = {name for name, hold in self.holds.items() if hold.job == spec.id}
         if 2 * (len(self.holds) - len(mine) + spec.tasks) > len(self.usable) and len(self.holds) > len(mine):
@@ -424,7 +424,7 @@
         already made most machines fetch images instead of running tasks.
         """
         spec = job.spec
-        overdue = self.overdue(job, now)
+        overdue = self.aims.overdue(job, now)
         if self.stopping_for(job):
             return []  # earlier victims are still on their way out
         if not overdue and spec.priority is not Priority.PRODUCTION:
@@ -551,11 +551,6 @@
     return max((machine.fetch_wait(job.spec) for machine, _ in plan), default=0.0)
 
 
-def fetch_time(spec: Spec, kind: MachineType) -> float:
-    """Seconds to fetch the job's image on a machine without it."""
-    return spec.image_gb / kind.fetch_rate if kind.fetch_rate > 0 else 0.0
-
-
 def stop_softly(live: Live, patience: float) -> None:
     """Ask a task to end, with time to save where it has checkpoints."""
     if live.stop is None:
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -11,7 +11,6 @@
 
 LEAST_CHARGED_S = 60.0  # the cloud charges a deleted machine for at least this long
 TASKS_SEEN = 64
-RENT_AHEAD = 1.5  # times the lead time before a job is due
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,12 +56,11 @@
             for spot in (True, False)
             if job.spec.allows(kind.name, zone, spot)
         ]
-        due = aims.due(job, now)
         open_ones = [
             offer
             for offer in found
             if self.refused.get(offer, 0.0) <= now
-            and (offer.spot or not job.spec.spot or due - now <= RENT_AHEAD * self.lead_time(offer.type, job))
+            and (offer.spot or not job.spec.spot or aims.presses(job, self.types[offer.type], now))
         ]
         return sorted(open_ones, key=lambda offer: (self.price(offer), offer.zone))
 
@@ -76,11 +74,6 @@
         ]
         return min(offers, key=lambda offer: (room.get(offer.zone, 0.0), self.price(offer), offer.zone), default=None)
 
-    def lead_time(self, type_name: str, job: Job) -> float:
-        """Seconds from the request for a machine until a task of the job runs on it."""
-        kind = self.types[type_name]
-        return kind.boot_s + (job.spec.image_gb / kind.fetch_rate if kind.fetch_rate > 0 else 0.0)
-
     def refuse(self, offer: Offer, until: float) -> None:
         """None to be had for a while."""
         self.refused[offer] = until
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -14,7 +14,8 @@
         Objective("finished", "soon", 200.0, 0.9),
         Objective("wait", "late", 300, 0.9),
         Objective("wait", "now", 6.0, 0.9),
-    )
+    ),
+    keep_after=50.0,
 )
 TERM = 5
 
@@ -49,7 +50,7 @@
     def __init__(self, machines=(("m1", "a", False),), chunk=50):
         self.book = Book(chunk)
         self.fleet = Fleet(1.0, 10.0, 0.36, 0.0, TERM)
-        self.placer = Placer(self.book, self.fleet, TEAMS, {}, AIMS, keep_after=50.0)
+        self.placer = Placer(self.book, self.fleet, TEAMS, {}, AIMS)
         self.stamp = 0
         for name, zone, spot in machines:
             self.up(name, zone, spot)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -169,6 +169,28 @@
     assert desk.run() == [("wk-2", 0, "m2")]  # the half-full one
 
 
+@pytest.mark.parametrize(
+    ("fields", "now", "machine"),
+    [
+        ({"job_class": "late"}, 0.0, "cheap"),
+        ({"job_class": "late"}, 5.0, "cheap"),
+        ({"job_class": "none"}, 5.0, "cheap"),
+        ({"job_class": "none"}, 60.0, "dear"),  # no aim, but it has waited for longer than keep_after
+        ({"job_class": "soon"}, 5.0, "dear"),
+        ({"job_class": "late", "kind": Kind.GANG}, 5.0, "dear"),
+    ],
+)
+def test_patient_arrays_leave_dear_machines(fields, now, machine):
+    """They took ordinary machines for minutes, and gangs that may use no others waited beside cheap room."""
+    desk = Desk([("dear", "a", False), ("cheap", "a", True)])
+    if machine == "dear" or now:
+        desk.fleet.machines["cheap"].notice_until = 1.0
+    desk.job(1, spot=True, **fields)
+    desk.refresh(now)
+    placed = [name for _, _, name in desk.run(now)]
+    assert placed == ([machine] if machine == "dear" or not now else [])
+
+
 def test_a_fetch_under_way_is_left_alone():
     """Two images on one machine share its rate: the second made the first one's task late."""
     desk = Desk([("m1", "a", False), ("m2", "a", False)])
