--- a/src/passrock/core/aims.py
+++ b/src/passrock/core/aims.py
@@ -38,11 +38,14 @@
             times.sort()
         self._with_guarantee = {name: sorted(times + self._guarantees) for name, times in self._waits.items()}
 
-    def due(self, job: Job, now: float, guaranteed: bool = False) -> float:
+    def due(self, job: Job, now: float, guaranteed: bool = False, fetch: float = 0.0) -> float:
         """When the job should start to meet the next aim that it can still meet.
 
-        A job that has missed an aim no longer competes for it with those that can still make it.
+        A job that has missed an aim no longer competes for it with those that can still make it. With
+        the time that its image takes, the time is that of placing it, and an aim that a fetch would miss
+        is taken for missed.
         """
+        now += fetch
         spec = job.spec
         if guaranteed:
             waits = self._with_guarantee.get(spec.job_class, self._guarantees)
@@ -50,13 +53,13 @@
             waits = self._waits.get(spec.job_class, [])
         for within in waits:
             if now < job.order + within:
-                return job.order + within
+                return job.order + within - fetch
         ends = self._ends.get(spec.job_class, [])
         if spec.deadline is not None:
             ends = sorted([*ends, spec.deadline])
         for within in ends:
             if now < job.order + within - spec.estimate:
-                return job.order + within - spec.estimate
+                return job.order + within - spec.estimate - fetch
         return PAST + job.order
 
     def presses(self, job: Job, kind: MachineType, now: float) -> bool:
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -124,7 +124,8 @@
             production, guaranteed, _ = self.rank(job)
             if self.aims.overdue(job, now):  # oldest first; otherwise those past all aims would wait for ever
                 return not production, False, False, job.waiting_since, job.order
-            return not production, True, not guaranteed, self.aims.due(job, now, guaranteed), job.order
+            due = self.aims.due(job, now, guaranteed, self.longest_fetch(job))
+            return not production, True, not guaranteed, due, job.order
 
         return sorted(ready, key=order)
 
@@ -139,7 +140,6 @@
         self.stray_use = {}
         self.usable = []
         self.kinds = {}
-        self.waiting = self.queue(now)
         started: list[Live] = []
         for machine in self.fleet.machines.values():
             if machine.strays:
@@ -147,6 +147,7 @@
             if self.fleet.usable(machine, now):
                 self.usable.append(machine)
                 self.kinds[machine.type.name] = machine.type
+        self.waiting = self.queue(now)
         if not self.usable or not self.waiting:
             return started
         self._find_open()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -202,6 +202,20 @@
     assert desk.fleet.machines["m1"].fetch_harm(spec(3, image="one")) == 0.0
 
 
+def test_an_aim_that_the_fetch_would_miss_does_not_count():
+    """Jobs with large images took room for an aim that was lost to them, before those that could meet it."""
+    desk = Desk()
+    for number, gb in (
+        (1, 1.0),
+        (2, 40.0),
+        (3, 20.0),
+    ):  # at 1 GB a second, with 30 s from the submission to the start
+        desk.job(number, team="t1", tasks=6, job_class="soon", image_gb=gb, at=0.1 * number)
+    desk.run(0.4)
+    desk.placer.find_guaranteed()
+    assert [job.spec.id for job in desk.placer.queue(0.5)] == ["wk-3", "wk-1", "wk-2"]
+
+
 def test_queue_order():
     desk = Desk()
     desk.job(1, team="t1", tasks=6, job_class="late", at=0.0)
