--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -17,7 +17,7 @@
 PACK_COST = 15.0
 FOREIGN_COST = 4.0
 DEAR_COST = 40.0
-TOGETHER_COST = 10.0
+STRAND_COST = 40.0
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
 COUNTS_S = 30.0  # a start counts for its user once the task was left to run for this long
@@ -194,8 +194,10 @@
             cost += DEAR_COST
         if machine.name in job.avoid:
             cost += AVOID_COST
-        if spec.kind is Kind.SERVICE and any(key[0] == spec.id for key in self.book.held.get(machine.name, ())):
-            cost += TOGETHER_COST
+        if spec.kind is Kind.SERVICE and not self.book.held.get(machine.name):
+            # replicas stay for long: spread over empty machines they strand the rest of each, which then
+            # serves no gang of whole machines, and is paid for until the last replica ends
+            cost += STRAND_COST * left
         return cost
 
     def candidates(self, job: Job, zone: str | None, now: float) -> list[Machine]:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -191,6 +191,13 @@
     assert placed == ([machine] if machine == "dear" or not now else [])
 
 
+def test_replicas_share_machines():
+    """One to a machine, they stranded half of each for as long as they ran."""
+    desk = Desk([(f"m{i}", "a", False) for i in range(4)])
+    desk.job(1, kind=Kind.SERVICE, tasks=4, priority=Priority.PRODUCTION)
+    assert len({machine for _, _, machine in desk.run()}) == 2
+
+
 def test_a_fetch_under_way_is_left_alone():
     """Two images on one machine share its rate: the second made the first one's task late."""
     desk = Desk([("m1", "a", False), ("m2", "a", False)])
