--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -17,7 +17,7 @@
 PACK_COST = 15.0
 FOREIGN_COST = 4.0
 DEAR_COST = 40.0
-STRAND_COST = 40.0
+STRAND_COST = 20.0
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
 COUNTS_S = 30.0  # a start counts for its user once the task was left to run for this long
