--- a/src/passrock/core/aims.py
+++ b/src/passrock/core/aims.py
@@ -8,6 +8,7 @@
 from passrock.core.model import MachineType, Spec
 
 AHEAD = 1.5  # times the time until a rented machine would run a task: then a due job can't wait any more
+MARGIN = 1.3  # times the owner's estimate of the run time, which is often too low, where a job has to end in time
 PAST = 1e9  # after every job that can still meet an aim
 
 
@@ -58,8 +59,9 @@
         if spec.deadline is not None:
             ends = sorted([*ends, spec.deadline])
         for within in ends:
-            if now < job.order + within - spec.estimate:
-                return job.order + within - spec.estimate - fetch
+            start = job.order + within - spec.estimate * MARGIN
+            if now < start:
+                return start - fetch
         return PAST + job.order
 
     def presses(self, job: Job, kind: MachineType, now: float) -> bool:
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -21,8 +21,6 @@
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
 COUNTS_S = 30.0  # a start counts for its user once the task was left to run for this long
-DEFER_SHARE = 1 / 6  # of the machines with room: a gang that asks for more lets smaller jobs go first,
-DEFER_WAIT = 0.2  # for this part of the lease for each of its machines
 MANY = 1 << 30
 LONG_S = 3600.0  # for what ends when its user says so
 
@@ -76,7 +74,6 @@
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
         self.aims = aims
-        self.defer_s = fleet.lease_s * DEFER_WAIT
         self.patience = fleet.report_s * 1.5  # until a task without anything to save has made room
 
     # -- order ---------------------------------------------------------------------------
@@ -289,24 +286,9 @@
             return [None]
         return list(dict.fromkeys(machine.zone for machine in self.usable))
 
-    def defers(self, job: Job, now: float) -> bool:
-        """Whether a gang that would take a large part of the free room leaves it to smaller jobs for a while.
-
-        Users count jobs: at the beginning of a day, or of a burst, a few large gangs took all there was,
-        and many small ones that came a moment later were late. It waits no longer than its next aim
-        allows, for a time in proportion to what it asks for.
-        """
-        machines = job.spec.tasks * min(job.spec.need.share_of(kind.size) for kind in self.kinds.values())
-        if machines <= 1 or machines <= len(self.open) * DEFER_SHARE:
-            return False
-        latest = self.aims.due(job, now, job.spec.id in self.guaranteed, self.longest_fetch(job))
-        return now < min(job.waiting_since + machines * self.defer_s, latest - 2 * self.fleet.report_s)
-
     def place_gang(self, job: Job, now: float) -> list[Live]:
         """All tasks of a gang or none."""
         spec = job.spec
-        if self.defers(job, now):
-            return []
         kind = (spec.need, spec.types, spec.zone, spec.spot, spec.one_zone)
         if spec.tasks >= self.hopeless.get(kind, MANY) and not self.has_hold(job):
             return self.keep_room(job, now)
