--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -17,7 +17,7 @@
 PACK_COST = 15.0
 FOREIGN_COST = 4.0
 DEAR_COST = 40.0
-STRAND_COST = 20.0
+STRAND_COST = 40.0
 AVOID_COST = 1000.0
 ARRAY_BATCH = 64
 COUNTS_S = 30.0  # a start counts for its user once the task was left to run for this long
@@ -186,7 +186,8 @@
         """How dear this machine is for a task of the job."""
         spec = job.spec
         left = (self.rooms.of(machine) - spec.need).share_of(machine.type.size)
-        cost = machine.fetch_wait(spec) + machine.fetch_harm(spec) + PACK_COST * left
+        harm = machine.fetch_harm(spec)
+        cost = machine.fetch_wait(spec) + harm + PACK_COST * left
         owner = self.bound.get(machine.name)
         if owner is not None and owner != spec.team:
             cost += FOREIGN_COST
@@ -194,10 +195,11 @@
             cost += DEAR_COST
         if machine.name in job.avoid:
             cost += AVOID_COST
-        if spec.kind is Kind.SERVICE and not self.book.held.get(machine.name):
+        if spec.kind is Kind.SERVICE:
             # replicas stay for long: spread over empty machines they strand the rest of each, which then
-            # serves no gang of whole machines, and is paid for until the last replica ends
-            cost += STRAND_COST * left
+            # serves no gang of whole machines, and is paid for until the last replica ends; but where one
+            # is still fetching another image, both would be late
+            cost += harm if self.book.held.get(machine.name) else STRAND_COST * left
         return cost
 
     def candidates(self, job: Job, zone: str | None, now: float) -> list[Machine]:
