--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -113,7 +113,7 @@
             leading=self.leading,
             state_down=self.state.down(steady(), self.ttl / 4),
             has_read=self.replica.loaded,
-            turned=self._turned_lately(),
+            turned=self.turned_lately(),
         )
 
     def turned_away(self, token: int) -> None:
@@ -121,7 +121,8 @@
         if token and token >= self.known_term and not self.leading:
             self._turned.append(steady())
 
-    def _turned_lately(self) -> int:
+    def turned_lately(self) -> int:
+        """How many such workers came here in the last part of a lease."""
         while self._turned and steady() - self._turned[0] > self.settings.lease_s / 4:
             self._turned.popleft()
         return len(self._turned)
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -31,6 +31,7 @@
 
 STATE_CONNECTIONS = 12
 LEADER_PART = 0.6
+FEW_LOST = 2  # workers that lose their leader one by one have troubles of their own
 
 
 class Node:
@@ -130,7 +131,9 @@
                 return Response(200, worker_wire.answer(report.token, []))
             self.leadership.turned_away(report.token)
             leader = self.leadership.leader()
-            return Response(421, worker_wire.redirect(leader if leader != self.settings.node else None))
+            if leader == self.settings.node or self.leadership.turned_lately() > FEW_LOST:
+                leader = None  # several have just lost that leader: sent back, each would wait there in vain
+            return Response(421, worker_wire.redirect(leader))
         if self.term is None:
             return Response(200, worker_wire.answer(self.leadership.term, []))
         commands = self.term.checkin(report)
