--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -29,6 +29,8 @@
 from passrock.wire.state import Entry, Put, Write
 
 MADE_WAY = 6  # where more than a sixth of the fleet turns up at other controllers, the silence is this one's fault
+CROWD, CROWD_LEAST = 8, 4  # silent machines above an eighth of the fleet, and four, are a crowd:
+CROWD_PATIENCE = 0.9  # of the lease, which by then has all but ended, before one of a crowd is given up
 TICK_REST = 2.0  # times the time a tick took, until the next one
 PLAN_EVERY = 0.4  # of the report interval, between looks at renting and displacement
 EARLY_ROUND = 0.25  # of the round interval, the least time between two rounds
@@ -314,15 +316,19 @@
         # a machine that holds tasks of an earlier term counts too, though it may never report in this one
         up = [m for m in fleet.machines.values() if not m.deleting and (m.up or m.name in self.book.held)]
         silent = [m for m in up if fleet.silent(m, now)]
+        crowd = len(silent) > max(CROWD_LEAST, len(up) / CROWD)
+        if crowd and self.leadership.workers_elsewhere() * MADE_WAY > len(up):
+            # cut off from the workers alone: the state service and the peers don't show it
+            self.leadership.make_way()
+            return
         if len(silent) * 2 <= len(up) + 2:
             for machine in silent:
+                quiet = now - max(machine.heard, fleet.began)
+                if crowd and quiet < self.settings.lease_s * CROWD_PATIENCE:
+                    continue  # one cause for many may pass, or lie here
                 if machine.name in self.book.held or now - machine.heard > self.settings.lease_s:
                     info("machine_silent", machine=machine.name, for_s=round(now - machine.heard, 1))
                     self.rentals.delete(machine)
-        elif self.leadership.workers_elsewhere() * MADE_WAY > len(up):
-            # cut off from the workers alone: the state service and the peers don't show it
-            self.leadership.make_way()
-            return
         deaf = [m for m in up if fleet.deaf(m, now)]
         if len(deaf) * 2 <= len(up) + 2:
             for machine in deaf:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -183,13 +183,17 @@
     async def main():
         world, old = await settled(69, jobs=6)
         starts = world.checker.starts
+        before = set(world.workers)
         world.cuts.append(("workers", old, world.now() + 60.0))
         await asyncio.sleep(9.0)
         now = leaders(world)
-        await asyncio.sleep(40.0)
-        return world, old, starts, now, leaders(world)
+        await asyncio.sleep(8.0)
+        kept = before & set(world.workers)
+        await asyncio.sleep(32.0)
+        return world, old, starts, now, leaders(world), len(before), len(kept)
 
-    world, old, starts, now, later = virtual_loop.run(main())
+    world, old, starts, now, later, before, kept = virtual_loop.run(main())
+    assert kept > before - 5  # no crowd of machines is given up for one leader's trouble
     assert len(now) == 1 and now != [old] and later == now
     assert world.checker.starts <= starts + 3  # a few workers had been sent back to the old leader
     assert world.checker.broken == []
