--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -170,6 +170,8 @@
             elif job_id not in self.book.jobs and job_id not in self.pump.removed:
                 job = self.book.load(entry.value, entry.version, steady(), time_of_day())
                 self.round_early()
+                if job.spec.priority is Priority.PRODUCTION:
+                    self._plan_due = 0.0  # it displaces other work at once, best before that is launched
                 info(
                     "job_new",
                     job=job_id,
@@ -359,11 +361,18 @@
 
     def _preempt(self, queue: list[Job], now: float) -> None:
         for job in queue:
-            if now - job.order < self.settings.report_s or not self.placer.displaces(job):
+            soon = now - job.order < self.settings.report_s and job.spec.priority is not Priority.PRODUCTION
+            if soon or not self.placer.displaces(job):
                 continue
             for live in self.placer.make_room(job, now):
                 info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
                 stop_softly(live, self.settings.gang_peer_s)
+                if self.book.unsent(live):  # nothing of it is on its way: the room is free at once
+                    self.book.gone(live, now)
+                    self.poke()
+                machine = self.fleet.machines.get(live.machine)
+                if machine is not None:
+                    self.book.recount(machine, now)
 
     def _rent(self, queue: list[Job], now: float) -> None:
         wanted = plan_rentals(queue, self.book, self.fleet, self.settings.teams, self.market, self.placer.aims, now)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -210,3 +210,24 @@
     world, starts, now = virtual_loop.run(main())
     # one worker may happen on ended processes for a whole lease while nineteen terms pass in twelve seconds
     assert len(now) == 1 and world.checker.starts <= starts + 2 and world.checker.broken == []
+
+
+def test_replicas_take_room_from_what_is_not_launched_yet_at_once():
+    """After a mass restart jobs come in no order; replicas waited for reports of machines that had nothing to stop."""
+
+    async def main():
+        world = World(72, machines=2, zones=("a",), capacity=(0, 0))
+        await asyncio.sleep(5.0)
+        gang = world.job(1, format="group", volumes=2, cards=2.0, cores=14.0, ramGb=50.0, precedence="high")
+        world.spawn(world.user(gang, run_s=60.0))
+        await asyncio.sleep(0.25)
+        service = world.job(2, format="service", volumes=2, precedence="prod", loanS=0.0, imageGb=0.1)
+        world.spawn(world.user(service, cancel_after=1e9))
+        began = world.now()
+        while ("wk-000002", 1) not in world.checker.present and world.now() < began + 30.0:
+            await asyncio.sleep(0.1)
+        return world, world.now() - began
+
+    world, took = virtual_loop.run(main())
+    assert ("wk-000001", 0) not in world.checker.present and world.checker.broken == []
+    assert took < 4.0  # a report, the image, and no stop before it
