--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -326,7 +326,7 @@
             return
         if len(silent) * 2 <= len(up) + 2:
             for machine in silent:
-                quiet = now - max(machine.heard, fleet.began)
+                quiet = now - fleet.quiet_since(machine)
                 if crowd and quiet < self.settings.lease_s * CROWD_PATIENCE:
                     continue  # one cause for many may pass, or lie here
                 if machine.name in self.book.held or now - machine.heard > self.settings.lease_s:
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -15,6 +15,8 @@
 BOOT_PATIENCE = 3.0
 # So many answers without effect mean that none reaches the machine; one alone is lost now and then.
 UNHEEDED_MOST = 2
+# A worker waits so long for an answer before it tries another node.
+WORKER_WAIT_S = 4.0
 # Names of deleted machines that are remembered: many times what a list could still show.
 DELETED_KEPT = 10_000
 
@@ -221,8 +223,15 @@
             self.deleted.pop(next(iter(self.deleted)))
 
     def silent(self, machine: Machine, now: float) -> bool:
-        """Whether a machine that should report has not been heard of for too long."""
-        return now - max(machine.heard, self.began) > self.silent_s
+        """Whether a machine that should report has not been heard of for too long.
+
+        One that has not found this leader yet may still wait for an answer of the last one.
+        """
+        return now - self.quiet_since(machine) > self.silent_s
+
+    def quiet_since(self, machine: Machine) -> float:
+        """From when on its silence counts."""
+        return max(machine.heard, self.began + (0.0 if machine.up else WORKER_WAIT_S))
 
     def late(self, machine: Machine, now: float) -> bool:
         """Whether a machine should have come up by now.
