--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -30,7 +30,7 @@
 
 MADE_WAY = 6  # where more than a sixth of the fleet turns up at other controllers, the silence is this one's fault
 CROWD, CROWD_LEAST = 8, 4  # silent machines above an eighth of the fleet, and four, are a crowd:
-CROWD_PATIENCE = 0.9  # of the lease, which by then has all but ended, before one of a crowd is given up
+CROWD_BOOTS = 1.0  # boot times beyond the lease, whose end frees its tasks, before one of a crowd is given up
 TICK_REST = 2.0  # times the time a tick took, until the next one
 PLAN_EVERY = 0.4  # of the report interval, between looks at renting and displacement
 EARLY_ROUND = 0.25  # of the round interval, the least time between two rounds
@@ -327,8 +327,8 @@
         if len(silent) * 2 <= len(up) + 2:
             for machine in silent:
                 quiet = now - fleet.quiet_since(machine)
-                if crowd and quiet < self.settings.lease_s * CROWD_PATIENCE:
-                    continue  # one cause for many may pass, or lie here
+                if crowd and quiet < self.settings.lease_s + machine.type.boot_s * CROWD_BOOTS:
+                    continue  # one cause for many may pass, or lie here; a new machine would take as long
                 if machine.name in self.book.held or now - machine.heard > self.settings.lease_s:
                     info("machine_silent", machine=machine.name, for_s=round(now - machine.heard, 1))
                     self.rentals.delete(machine)
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -233,6 +233,10 @@
         """From when on its silence counts."""
         return max(machine.heard, self.began + (0.0 if machine.up else WORKER_WAIT_S))
 
+    def absent(self, machine: Machine, now: float) -> bool:
+        """Whether an up machine is silent but not given up: it counts as on its way back."""
+        return machine.up and not machine.deleting and self.silent(machine, now)
+
     def late(self, machine: Machine, now: float) -> bool:
         """Whether a machine should have come up by now.
 
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -101,7 +101,7 @@
     bins = [
         Bin(Offer(m.type.name, m.zone, m.spot), m.type.size)
         for m in fleet.machines.values()
-        if not m.up and not m.deleting
+        if (not m.up and not m.deleting) or (m.name not in book.held and fleet.absent(m, now))
     ]
     rooms = [Bin(Offer(m.type.name, m.zone, m.spot), m.room) for m in fleet.machines.values() if fleet.usable(m, now)]
     # whatever has no room for the smallest waiting task is left out: on a full fleet that is nearly all of it
