--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -15,6 +15,8 @@
 BOOT_PATIENCE = 3.0
 # So many answers without effect mean that none reaches the machine; one alone is lost now and then.
 UNHEEDED_MOST = 2
+# Reports come at up to 1.25 times their interval, and an answer may wait for another quarter; beyond that one lacks.
+OVERDUE = 1.75
 # A worker waits so long for an answer before it tries another node.
 WORKER_WAIT_S = 4.0
 # Names of deleted machines that are remembered: many times what a list could still show.
@@ -105,6 +107,8 @@
     answered: float = 0.0
     up_since: float = 0.0
     confirmed: bool = False  # has reported with this term's token, so that answers do reach it
+    returning: bool = False  # one report has come after a silence, and none since
+    crowd: bool = False  # went silent with many others, and stays one of them although some are back
     unheeded: int = 0  # answers in a row that had no effect on what it reported next
     notice_until: float | None = None
     deleting: bool = False
@@ -127,7 +131,7 @@
     @property
     def hears(self) -> bool:
         """Whether it is known that answers reach the worker, and not only its reports the leader."""
-        return self.confirmed and self.unheeded < UNHEEDED_MOST
+        return self.confirmed and not self.returning and self.unheeded < UNHEEDED_MOST
 
     def fetched(self, spec: Spec) -> None:
         """The machine has this image now; the least recently used ones make room."""
@@ -185,6 +189,10 @@
         machine = self.add(report.machine, kind, report.zone, report.spot, now)
         if (report.session, report.seq) <= (machine.session, machine.seq):
             return None
+        if machine.up and report.session == machine.session and now - machine.answered > self.longest_lease():
+            return None  # held up on its way: the worker's lease has ended since, and it is in its next session
+        # the first report after a silence may have been held up too, its answer reaching nobody
+        machine.returning = machine.up and self.silent(machine, now)
         if not machine.up:
             machine.up = True
             machine.up_since = machine.idle_since = now
@@ -193,6 +201,7 @@
         machine.confirmed = machine.confirmed or report.token == self.term
         machine.session, machine.seq = report.session, report.seq
         machine.heard = now
+        machine.crowd = False
         if report.notice is not None:
             machine.notice_until = now + report.notice
         return machine
@@ -229,13 +238,22 @@
         """
         return now - self.quiet_since(machine) > self.silent_s
 
+    def overdue(self, machine: Machine, now: float) -> bool:
+        """Whether a report is missing, though not long enough for silence."""
+        return now - self.quiet_since(machine) > self.report_s * OVERDUE
+
     def quiet_since(self, machine: Machine) -> float:
         """From when on its silence counts."""
         return max(machine.heard, self.began + (0.0 if machine.up else WORKER_WAIT_S))
 
     def absent(self, machine: Machine, now: float) -> bool:
-        """Whether an up machine is silent but not given up: it counts as on its way back."""
-        return machine.up and not machine.deleting and self.silent(machine, now)
+        """Whether an up machine is silent but not given up: for a while it counts as on its way back."""
+        quiet = now - self.quiet_since(machine)
+        return machine.up and not machine.deleting and self.silent_s < quiet < self.return_s(machine)
+
+    def return_s(self, machine: Machine) -> float:
+        """After what silence a machine is no longer counted on: a new one would be up by then."""
+        return self.lease_s + machine.type.boot_s
 
     def late(self, machine: Machine, now: float) -> bool:
         """Whether a machine should have come up by now.
@@ -278,4 +296,8 @@
         """
         if fenced_at is None or not machine.up:
             return False
-        return now - max(machine.answered, fenced_at) > self.lease_s * DRIFT + self.report_s
+        return now - max(machine.answered, fenced_at) > self.longest_lease()
+
+    def longest_lease(self) -> float:
+        """After this time since the last answer a worker's lease has ended by any clock."""
+        return self.lease_s * DRIFT + self.report_s
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -266,3 +266,31 @@
     monkeypatch.setattr(Fleet, "began", property(lambda self: 0.0, lambda self, value: None), raising=False)
     lost = virtual_loop.run(stand_still(75, 25.0))[3]
     assert lost > 0
+
+
+def test_a_crowd_that_is_cut_off_comes_back_and_is_not_rented_twice():
+    """Given up as their leases ended, cut machines were deleted just before they came back, warm, and rented anew."""
+
+    async def main():
+        world = World(76, machines=24, zones=("a",), limit=60.0, capacity=(24, 0))
+        for number in range(24):
+            spec = world.job(number, volumes=2, cores=7.0, ramGb=30.0)
+            world.spawn(world.user(spec, run_s=60.0))
+        replicas = world.job(30, format="service", volumes=4, precedence="prod", loanS=0.0)
+        world.spawn(world.user(replicas, cancel_after=1e9))
+        await asyncio.sleep(20.0)
+        holding = {key: name for key, places in world.checker.present.items() for name, _ in places}
+        with_replicas = {name for (job, _), name in holding.items() if job == "wk-000030"}
+        cut = sorted(set(world.workers) - with_replicas)[:8] + sorted(with_replicas)[:1]
+        for name in cut:
+            world.cuts.append(("machine", name, world.now() + 18.0))
+        before = set(world.workers)
+        await asyncio.sleep(14.0)
+        up = sum(bool(world.checker.present.get(("wk-000030", index))) for index in range(4))
+        await asyncio.sleep(30.0)
+        return world, before - set(world.workers), set(cut), with_replicas, up
+
+    world, lost, cut, with_replicas, up = virtual_loop.run(main())
+    assert world.checker.broken == []
+    assert not lost & (cut - with_replicas)  # all back
+    assert lost & with_replicas and up == 4  # but the replica's machine was given up, and it runs elsewhere
