--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -18,7 +18,7 @@
 from passrock.core.checkin import Checkins
 from passrock.core.fleet import Command, Fleet, Machine, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
-from passrock.core.model import Priority
+from passrock.core.model import Kind, Priority
 from passrock.core.placement import Placer, stop_softly
 from passrock.core.renting import Market, plan_rentals, plan_returns
 from passrock.core.reservation import Binding, Claim, Unit, bind, pages, zone_gap
@@ -336,7 +336,7 @@
             for machine in silent:
                 quiet = now - fleet.quiet_since(machine)
                 machine.crowd = machine.crowd or crowd
-                if machine.crowd and quiet < self._crowd_patience(machine):
+                if machine.crowd and now - max(machine.heard, fleet.began) < self._crowd_patience(machine):
                     continue  # one cause for many may pass, or lie here
                 if missing > limit / 2 and quiet < fleet.silent_s + self.settings.report_s:
                     continue  # may be the first ones of a crowd
@@ -408,7 +408,7 @@
                 wanted[offer] = math.ceil(gap / self.market.types[offer.type].size.gpus)
         for offer, count in wanted.items():
             self.rentals.rent(offer, count)
-        if queue:
+        if queue or self._broken_gangs():
             return
         operator = self.settings.operator
         patience = {
@@ -423,6 +423,16 @@
             info("machine_return", machine=machine.name)
             self.rentals.delete(machine)
 
+    def _broken_gangs(self) -> bool:
+        """Whether a gang waits for the last of its old attempt to be gone: it needs the room of its mates again.
+
+        Gangs with tasks on machines that were cut off were in no queue, and the machines of the others went back.
+        """
+        return any(
+            job.spec.kind is Kind.GANG and job.live_count > 0 and job.waiting > 0 and not job.cancelled
+            for job in self.book.jobs.values()
+        )
+
     def _zone_rooms(self) -> tuple[dict[str, float], dict[str, float]]:
         """GPUs of production work in each zone, and those it could take there: idle ones or lent ones."""
         production = dict.fromkeys(self.settings.zones, 0.0)
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -294,7 +294,7 @@
         last support for an older one had run out; without it an older leader might still be
         answering the worker, so that the lease proves nothing.
         """
-        if fenced_at is None or not machine.up:
+        if fenced_at is None:
             return False
         return now - max(machine.answered, fenced_at) > self.longest_lease()
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -319,13 +319,21 @@
 
 
 @pytest.mark.parametrize(
-    ("answered", "fenced", "now", "over"),
-    [(0.0, None, 100.0, False), (0.0, 0.0, 10.5, False), (0.0, 0.0, 11.1, True), (0.0, 50.0, 60.0, False)],
+    ("answered", "fenced", "now", "up", "over"),
+    [
+        (0.0, None, 100.0, True, False),
+        (0.0, 0.0, 10.5, True, False),
+        (0.0, 0.0, 11.1, True, True),
+        (0.0, 50.0, 60.0, True, False),
+        # cut off across a takeover: its tasks, and the mates of its gangs, once waited until it was deleted
+        (0.0, 2.0, 11.1, False, False),
+        (0.0, 2.0, 13.1, False, True),
+    ],
 )
-def test_lease_evidence(answered, fenced, now, over):
+def test_lease_evidence(answered, fenced, now, up, over):
     desk = Desk()
     machine = desk.fleet.machines["m1"]
-    machine.answered = answered
+    machine.answered, machine.up = answered, up
     assert desk.fleet.lease_over(machine, now, fenced) is over
 
 
