--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -133,6 +133,10 @@
             return 0
         return sum(hello.turned for hello, _ in self.peers.answers(steady() - self._support_s))
 
+    def peer_hangs(self) -> bool:
+        """Whether a controller stands still or is cut off, so that workers may be waiting for its answer."""
+        return self.peers is not None and self.peers.hanging(steady(), self.settings.report_s / 2)
+
     def make_way(self) -> None:
         """Leave the leadership to a node that the workers reach, before their leases end."""
         self.step_down("workers reach other controllers only")
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -16,7 +16,7 @@
 from passrock.controller.replica import Replica
 from passrock.core.aims import Aims
 from passrock.core.checkin import Checkins
-from passrock.core.fleet import Command, Fleet, Machine, Report, TaskState
+from passrock.core.fleet import WORKER_WAIT_S, Command, Fleet, Machine, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
 from passrock.core.model import Kind, Priority
 from passrock.core.placement import Placer, stop_softly
@@ -319,6 +319,7 @@
 
     def _watch_machines(self, now: float) -> None:
         fleet = self.fleet
+        fleet.wait_s = WORKER_WAIT_S if self.leadership.peer_hangs() else 0.0
         # a machine that holds tasks of an earlier term counts too, though it may never report in this one
         up = [m for m in fleet.machines.values() if not m.deleting and (m.up or m.name in self.book.held)]
         silent = [m for m in up if fleet.silent(m, now)]
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -167,6 +167,7 @@
         self.term = term
         self.silent_s = max(lease_s * silent_ratio, report_s * 2.5)
         self.began = began
+        self.wait_s = 0.0  # how long workers may still wait for an answer of another leader
         self.machines: dict[str, Machine] = {}
         self.deleted: dict[str, float] = {}
         self.hints: dict[str, dict[str, float]] = {}
@@ -244,7 +245,7 @@
 
     def quiet_since(self, machine: Machine) -> float:
         """From when on its silence counts."""
-        return max(machine.heard, self.began + (0.0 if machine.up else WORKER_WAIT_S))
+        return max(machine.heard, self.began + (0.0 if machine.up else self.wait_s))
 
     def absent(self, machine: Machine, now: float) -> bool:
         """Whether an up machine is silent but not given up: for a while it counts as on its way back."""
--- a/src/passrock/io/peers.py
+++ b/src/passrock/io/peers.py
@@ -92,10 +92,13 @@
         self.connection: PeerConnection | None = None
         self.answer: Hello | None = None
         self.asked_at = -1e9
+        self.waiting_since: float | None = None
         self._sent: list[float] = []
 
     async def ask(self, hello: Hello, timeout: float) -> None:
         """Send our view; the answer arrives later or never."""
+        if self.waiting_since is None:
+            self.waiting_since = steady()
         if self.connection is None or self.connection.transport is None:
             self._sent.clear()
             loop = asyncio.get_running_loop()
@@ -105,7 +108,10 @@
                     _, self.connection = await loop.create_connection(
                         lambda: PeerConnection(self._answered), address.host, address.port
                     )
-            except (OSError, TimeoutError):
+            except TimeoutError:
+                return
+            except OSError:
+                self.waiting_since = None
                 return
         if len(self._sent) > 8:  # a peer that has stopped answering: begin again
             self.connection.drop("no answers")
@@ -116,6 +122,7 @@
 
     def _answered(self, connection: PeerConnection, hello: Hello) -> None:
         if connection is self.connection and self._sent:
+            self.waiting_since = None
             self.asked_at = self._sent.pop(0)
             self.answer = hello
 
@@ -125,6 +132,7 @@
 
     answer: Hello | None
     asked_at: float
+    waiting_since: float | None  # asked since then with neither an answer nor a refusal
 
     async def ask(self, hello: Hello, timeout: float) -> None:
         """Send our view."""
@@ -166,3 +174,7 @@
         return [
             (link.answer, link.asked_at) for link in self.links if link.answer is not None and link.asked_at >= since
         ]
+
+    def hanging(self, now: float, after: float) -> bool:
+        """Whether some peer neither answers nor refuses: it stands still or is cut off, and its callers wait too."""
+        return any(link.waiting_since is not None and now - link.waiting_since > after for link in self.links)
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -117,18 +117,22 @@
         self.world, self.node, self.peer = world, node, peer
         self.answer = None
         self.asked_at = -1e9
+        self.waiting_since = None
 
     async def ask(self, hello, timeout):
         other = self.world.nodes.get(self.peer)
-        if other is None or not self.node.alive or self.world.peers_cut(self.node.name, self.peer):
-            return
         sent = self.world.now()
+        dead = other is None or not other.alive
+        self.waiting_since = None if dead else sent if self.waiting_since is None else self.waiting_since
+        if dead or not self.node.alive or self.world.peers_cut(self.node.name, self.peer):
+            return
         await asyncio.sleep(self.world.rng.uniform(0.001, 0.01))
         while other.frozen_until > self.world.now():
             await asyncio.sleep(other.frozen_until - self.world.now())
         if other.alive and other is self.world.nodes.get(self.peer):
             self.answer = other.node.peers.reply(hello)
             self.asked_at = sent
+            self.waiting_since = None
 
 
 class SimNode:
