--- /dev/null
+++ b/src/passrock/controller/watch.py
@@ -0,0 +1,109 @@
+"""The leader's watch over its machines: silent, deaf, faulty and late ones, and leases that have ended."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from passrock.controller.leadership import Leadership
+from passrock.controller.rentals import Rentals
+from passrock.core.fleet import WORKER_WAIT_S, Fleet, Machine
+from passrock.core.jobs import Book
+from passrock.core.model import Priority
+from passrock.logs import info
+from passrock.settings import Settings
+
+MADE_WAY = 6  # where more than a sixth of the fleet turns up at other controllers, the silence is this one's fault
+CROWD, CROWD_LEAST = 8, 4  # silent machines above an eighth of the fleet, and four, are a crowd:
+CROWD_PATIENCE = 0.9  # of the lease, which by then has all but ended, before one of a crowd with replicas is given up
+DEATH_SHOWN_S = 30.0  # until the cloud's list shows a machine that died as failed
+
+
+class Watch:
+    """Judges machines by what is evident of them."""
+
+    def __init__(
+        self, settings: Settings, book: Book, fleet: Fleet, leadership: Leadership, rentals: Rentals
+    ) -> None:
+        self.settings = settings
+        self.book = book
+        self.fleet = fleet
+        self.leadership = leadership
+        self.rentals = rentals
+        self.drain: Callable[[str], None] = lambda name: None
+        self.given_up: deque[float] = deque()  # when machines were given up for silent, over the last lease
+
+    def look(self, now: float) -> None:
+        """Take note of silence, deafness and ends of leases; have machines deleted that won't serve again."""
+        fleet = self.fleet
+        fleet.wait_s = WORKER_WAIT_S if self.leadership.peer_hangs() else 0.0
+        # a machine that holds tasks of an earlier term counts too, though it may never report in this one
+        up = [m for m in fleet.machines.values() if not m.deleting and (m.up or m.name in self.book.held)]
+        if self._silence(up, now):
+            return
+        deaf = [m for m in up if fleet.deaf(m, now)]
+        if len(deaf) * 2 <= len(up) + 2:
+            for machine in deaf:
+                info("machine_deaf", machine=machine.name, unheeded=machine.unheeded)
+                self.rentals.delete(machine)
+        for machine in up:
+            if fleet.lease_over(machine, now, self.leadership.fenced_at) and machine.name in self.book.held:
+                info("lease_over", machine=machine.name)
+                self.book.machine_gone(machine.name, now)
+            if machine.notice_until is not None and machine.name not in self.book.held and not machine.strays:
+                self.rentals.delete(machine)
+            if len(machine.failed_jobs) > 1:
+                info("machine_faulty", machine=machine.name, jobs=len(machine.failed_jobs))
+                self.drain(machine.name)
+                if machine.name not in self.book.held:
+                    self.rentals.delete(machine)
+        for machine in list(fleet.machines.values()):
+            if fleet.late(machine, now):
+                info("machine_late", machine=machine.name, age=round(now - machine.since))
+                self.rentals.delete(machine)
+        if now - fleet.began > 2 * fleet.silent_s:
+            for name in list(self.book.held):
+                if name not in fleet.machines and name not in fleet.deleted:
+                    self.rentals.delete_unknown(name)
+                elif name in fleet.deleted:
+                    self.rentals.on_gone(name)
+
+    def _silence(self, up: list[Machine], now: float) -> bool:
+        """Give up what has been silent for too long; True when the fault lies here and the leader made way."""
+        fleet = self.fleet
+        silent = [m for m in up if fleet.silent(m, now)]
+        while self.given_up and now - self.given_up[0] > self.settings.lease_s:
+            self.given_up.popleft()
+        # machines report at different moments: those that are late already, and those just given up, count as well
+        missing = sum(fleet.overdue(m, now) for m in up) + len(self.given_up)
+        limit = max(CROWD_LEAST, (len(up) + len(self.given_up)) / CROWD)
+        crowd = missing > limit
+        if len(silent) > limit and self.leadership.workers_elsewhere() * MADE_WAY > len(up):
+            # cut off from the workers alone: the state service and the peers don't show it
+            self.leadership.make_way()
+            return True
+        if len(silent) * 2 <= len(up) + 2:
+            for machine in silent:
+                quiet = now - fleet.quiet_since(machine)
+                machine.crowd = machine.crowd or crowd
+                if machine.crowd and now - max(machine.heard, fleet.began) < self._crowd_patience(machine):
+                    continue  # one cause for many may pass, or lie here
+                if missing > limit / 2 and quiet < fleet.silent_s + self.settings.report_s:
+                    continue  # may be the first ones of a crowd
+                if machine.name in self.book.held or now - machine.heard > self.settings.lease_s:
+                    info("machine_silent", machine=machine.name, for_s=round(now - machine.heard, 1))
+                    self.given_up.append(now)
+                    self.rentals.delete(machine)
+        return False
+
+    def _crowd_patience(self, machine: Machine) -> float:
+        """How long one of a crowd of silent machines is waited for.
+
+        A lease's end frees its tasks, and those cut off come back warm, sooner than new ones would boot. By the
+        end of the time the cloud's list shows which have died. Replicas must be up again before: their machines
+        are given up as the leases end, which frees them without waiting for the last doubt.
+        """
+        lives = self.book.held.get(machine.name, {}).values()
+        if any(live.job.spec.priority is Priority.PRODUCTION for live in lives):
+            return self.settings.lease_s * CROWD_PATIENCE
+        return self.fleet.return_s(machine) + DEATH_SHOWN_S + 2 * self.settings.list_lag_s
--- a/src/passrock/io/http_server.py
+++ b/src/passrock/io/http_server.py
@@ -77,6 +77,7 @@
         self.idle_s = idle_s
         self.head_s = head_s
         self.connections: set[Connection] = set()
+        self.warned = -idle_s
 
     async def start(self, host: str, port: int) -> asyncio.Server:
         """Listen, and sweep idle and slow connections from then on."""
@@ -99,6 +100,10 @@
             return True
         idle = [c for c in self.connections if c.idle]
         if not idle:
+            now = asyncio.get_running_loop().time()
+            if now - self.warned >= self.idle_s:
+                self.warned = now
+                error("sockets_used_up", limit=self.limit)  # the platform's limit is small for this fleet
             return False
         min(idle, key=lambda c: c.since).close()
         return True
