--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -301,7 +301,7 @@
         if planning:
             self._plan_due = now + self.settings.report_s * PLAN_EVERY
             self.watch.look(now)
-        started = self.placer.run(now, planning)
+        started = self.placer.run(now)
         for live in started:
             info("place", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=live.machine)
         if planning:
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -69,7 +69,6 @@
         self.kinds: dict[str, MachineType] = {}
         self.open: list[Machine] = []  # usable ones with room
         self.waiting: list[Job] = []  # what the last pass left, most urgent first
-        self.planning = True
         self.waits: dict[Amount, dict[str, float]] = {}  # room_in of each machine, as far as this pass has asked
         self.hopeless: dict[Any, int] = {}  # kinds of tasks with the least number that found no room
         self.strays: set[tuple[str, int]] = set()
@@ -133,12 +132,8 @@
 
     # -- one pass --------------------------------------------------------------------------
 
-    def run(self, now: float, planning: bool = True) -> list[Live]:
-        """Start what fits; returns the new attempts. What still waits afterwards is in ``waiting``.
-
-        Room is kept for what has waited long only in passes that plan, for each such job looks at every machine.
-        """
-        self.planning = planning
+    def run(self, now: float) -> list[Live]:
+        """Start what fits; returns the new attempts. What still waits afterwards is in ``waiting``."""
         self.waits = {}
         self.rooms = Rooms()
         self.find_guaranteed()
@@ -341,7 +336,7 @@
         nothing has been placed.
         """
         spec = job.spec
-        if not self.planning or not self.aims.overdue(job, now) or not self.allowed_now(job, spec.tasks):
+        if not self.aims.overdue(job, now) or not self.allowed_now(job, spec.tasks):
             return []
         mine = {name for name, hold in self.holds.items() if hold.job == spec.id}
         if 2 * (len(self.holds) - len(mine) + spec.tasks) > len(self.usable) and len(self.holds) > len(mine):
