Renewals need knowledge of every cancellation that may have been told

Cause: the last leader renewed through an outage by a majority's view of service and term alone, and knew nothing of cancellations that another controller had confirmed while the service refused only it. Controllers now tell each other the committed cancellations that they know; whoever renews must know every one told more than cancel_s minus a lease ago, by a read of the state or from its peers. After a restart of all inside an outage nobody knows, and the leases run out. Tasks of cancelled jobs on silent machines are cleared by deleting the machine at half of cancel_s, also in crowds and outages, and are not freed by the lease alone. cancel_s is read and checked.

The stand-in's open watches now wait while one node is refused, as the interface says.

--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import deque
 from collections.abc import Callable
 
 from passrock.controller import keys
 from passrock.controller.replica import Replica
+from passrock.core.cancellations import Cancellations, renewal_horizon, whole_until
 from passrock.core.fleet import DRIFT
 from passrock.io.clock import steady
 from passrock.io.peers import Hello, Peers
@@ -17,15 +19,29 @@
 from passrock.settings import Settings
 from passrock.wire.state import Put
 
+LAUNCH_PART = 2.0  # of the time that a leader's key lives: a watch over a quiet state answers about so often
+
+RUN_MASK = (1 << 48) - 1
+
 
 class Leadership:
     """This node's part in the leadership."""
 
-    def __init__(self, settings: Settings, state: StateClient, replica: Replica, rng: random.Random) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        state: StateClient,
+        replica: Replica,
+        cancellations: Cancellations,
+        rng: random.Random,
+    ) -> None:
         self.settings = settings
         self.state = state
         self.replica = replica
+        self.cancellations = cancellations
         self.rng = rng
+        self.run_id = hash(rng.getstate()[1]) & RUN_MASK  # tells this life of the process from its former ones
+        self.horizon_s = renewal_horizon(settings.cancel_s, settings.lease_s, settings.report_s)
         self.peers: Peers | None = None
         self.ttl = settings.leader_lease_s
         self.term = 0  # the term this node leads or last led, 0 for none
@@ -39,23 +55,43 @@
         self._lease = 0
         self._rest_until = -1e9
         self._ending: asyncio.Task[None] | None = None
-        self._turned: deque[float] = deque()
+        self._redirects: deque[float] = deque()
         self._support_s = max(1.0, settings.report_s)
 
     # -- what others may rely on ------------------------------------------------------------
 
-    def firm(self) -> bool:
+    def holds_lease(self) -> bool:
         """Whether this node surely leads now: its key can't have run out."""
         return self.leading and steady() < self.deadline
 
+    def cancellations_whole_until(self, now: float) -> float:
+        """Every cancellation that any controller has told a user before this time is known here."""
+        knowledge = [] if self.peers is None else self.peers.knowledge
+        return whole_until(self.replica.read_at, knowledge, now)
+
+    def knows_cancellations(self, within_s: float) -> bool:
+        """Whether every cancellation told to a user more than ``within_s`` ago is known here."""
+        now = steady()
+        return now - self.cancellations_whole_until(now) <= within_s
+
+    def may_launch(self) -> bool:
+        """Whether tasks may be launched: by the leader, and on knowledge that is not much older than its key."""
+        return self.holds_lease() and self.knows_cancellations(min(self.ttl * LAUNCH_PART, self.horizon_s))
+
     def may_renew(self) -> bool:
         """Whether check-ins may be answered: as leader, or as the last one while the state is down.
 
         Through an outage of the state service the key runs out for everyone, and tasks must live.
         So the last leader goes on renewing worker leases, without launching anything, while a
         majority of controllers also see the service down and know of no higher term.
+
+        Never without knowledge of the cancellations: other controllers may have told users of some that this
+        one's copy lacks, and what it renews would run on. Any that it doesn't know is so young that the lease
+        given now ends within the time allowed.
         """
-        if self.firm():
+        if not self.knows_cancellations(self.horizon_s):
+            return False
+        if self.holds_lease():
             return True
         if not self.leading or self.peers is None or self.known_term > self.term:
             return False
@@ -69,16 +105,22 @@
                 votes += 1
         return votes * 2 > self.settings.nodes
 
-    def may_care(self, token: int) -> bool:
+    def may_renew_leaderless(self, token: int) -> bool:
         """Whether a worker with this token may be kept alive although nobody leads.
 
-        When all controllers restart while the state service is away, none knows a term and every task
+        When the leader ends while the state service is away, nobody can take over and every task
         would end with its worker's lease. Renewing with the worker's own token, and nothing else, is
         safe while every single controller says that it does not lead, knows no higher term and sees
         the service down: a majority is not enough, since those that restarted have forgotten what
         they acknowledged. A later leader's fence outlasts these renewals like those of a last leader.
+
+        Knowledge of the cancellations is needed as for a leader. After a restart of all nobody has it: a
+        cancellation may have been told just before, and the last leases were given on knowledge up to
+        ``horizon_s`` old, so no time is left to spend, and the leases run out unless the service is back.
         """
         now = steady()
+        if not self.knows_cancellations(self.horizon_s):
+            return False
         if self.leading or self.peers is None or token < self.known_term or token == 0:
             return False
         if not self.state.down(now, self.ttl / 4):
@@ -113,31 +155,38 @@
             leading=self.leading,
             state_down=self.state.down(steady(), self.ttl / 4),
             has_read=self.replica.loaded,
-            turned=self.turned_lately(),
+            redirects=self.redirects_lately(),
+            run=self.run_id,
+            whole_age=self._whole_age(),
         )
 
-    def turned_away(self, token: int) -> None:
+    def _whole_age(self) -> float | None:
+        now = steady()
+        until = self.cancellations_whole_until(now)
+        return max(0.0, now - until) if math.isfinite(until) else None
+
+    def note_redirect(self, token: int) -> None:
         """A worker came here; one that knows the present term has lost the leader."""
         if token and token >= self.known_term and not self.leading:
-            self._turned.append(steady())
+            self._redirects.append(steady())
 
-    def turned_lately(self) -> int:
+    def redirects_lately(self) -> int:
         """How many such workers came here in the last part of a lease."""
-        while self._turned and steady() - self._turned[0] > self.settings.lease_s / 4:
-            self._turned.popleft()
-        return len(self._turned)
+        while self._redirects and steady() - self._redirects[0] > self.settings.lease_s / 4:
+            self._redirects.popleft()
+        return len(self._redirects)
 
     def workers_elsewhere(self) -> int:
         """How many workers came to other controllers lately instead of this one."""
         if self.peers is None:
             return 0
-        return sum(hello.turned for hello, _ in self.peers.answers(steady() - self._support_s))
+        return sum(hello.redirects for hello, _ in self.peers.answers(steady() - self._support_s))
 
     def peer_hangs(self) -> bool:
         """Whether a controller stands still or is cut off, so that workers may be waiting for its answer."""
         return self.peers is not None and self.peers.hanging(steady(), self.settings.report_s / 2)
 
-    def make_way(self) -> None:
+    def abdicate(self) -> None:
         """Leave the leadership to a node that the workers reach, before their leases end."""
         self.step_down("workers reach other controllers only")
         self._rest_until = steady() + self.settings.lease_s / 2
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -15,7 +15,8 @@
 from passrock.controller.users import Users
 from passrock.core.admission import Limiter
 from passrock.core.budget import Budget
-from passrock.core.fleet import Command
+from passrock.core.cancellations import Cancellations
+from passrock.core.fleet import Command, Op, Report, TaskState
 from passrock.core.renting import Market
 from passrock.io.clock import steady
 from passrock.io.cloud import CloudClient, CloudError
@@ -28,9 +29,11 @@
 from passrock.wire import users as user_wire
 from passrock.wire import workers as worker_wire
 from passrock.wire.cbor import BadBody
+from passrock.wire.state import Entry
 
 STATE_CONNECTIONS = 12
 LEADER_PART = 0.6
+KEEP_CANCELLED = 4.0  # times cancel_s: by then every task of a cancelled job is long gone
 FEW_LOST = 2  # workers that lose their leader one by one have troubles of their own
 
 
@@ -51,12 +54,15 @@
         self.rng = rng
         self.market = Market()
         self.replica = Replica(state)
-        self.leadership = Leadership(settings, state, self.replica, rng)
+        self.cancellations = Cancellations(settings.cancel_s * KEEP_CANCELLED)
+        self.replica.listeners.append(self._listen)
+        self.leadership = Leadership(settings, state, self.replica, self.cancellations, rng)
         self.leadership.changed.append(self._role_changed)
-        self.peers = Peers(links, self.leadership.view, self.leadership.heard)
+        self.peers = Peers(links, self.leadership.view, self.leadership.heard, self.cancellations)
+        self.peers.learned = self._cancelled
         self.leadership.peers = self.peers
         limiter = Limiter(start=32, least=4, most=max(8, settings.fd_limit // 2), slack=settings.report_s / 10)
-        self.users = Users(settings, state, self.replica, self.market, limiter, rng)
+        self.users = Users(settings, state, self.replica, self.cancellations, self.market, limiter, rng)
         self.term: Term | None = None
         self._share_rates(False)
 
@@ -82,12 +88,23 @@
                 self.state,
                 self.cloud,
                 self.replica,
+                self.cancellations,
                 self.leadership,
                 self.market,
                 random.Random(self.rng.random()),
             )
             self.term.start()
 
+    def _listen(self, key: str, entry: Entry | None) -> None:
+        if key.startswith(keys.CANCEL) and entry is not None:
+            self.cancellations.learn(key[len(keys.CANCEL) :], steady())
+
+    def _cancelled(self, job_id: str) -> None:
+        """A peer told of a cancellation that the copy of the state here may not show yet."""
+        debug("cancellation_heard", job=job_id)
+        if self.term is not None:
+            self.term.cancelled(job_id, steady())
+
     # -- requests -----------------------------------------------------------------------------------
 
     def handle(self, request: Request) -> Response | Awaitable[Response]:
@@ -127,15 +144,15 @@
             return Response(400, user_wire.error_answer(str(problem)))
         self.leadership.saw_term(report.token)
         if not self.leadership.may_renew():
-            if self.leadership.may_care(report.token):
-                return Response(200, worker_wire.answer(report.token, []))
-            self.leadership.turned_away(report.token)
+            if self.leadership.may_renew_leaderless(report.token):
+                return Response(200, worker_wire.answer(report.token, self._stops(report)))
+            self.leadership.note_redirect(report.token)
             leader = self.leadership.leader()
-            if leader == self.settings.node or self.leadership.turned_lately() > FEW_LOST:
+            if leader == self.settings.node or self.leadership.redirects_lately() > FEW_LOST:
                 leader = None  # several have just lost that leader: sent back, each would wait there in vain
             return Response(421, worker_wire.redirect(leader))
-        if self.term is None:
-            return Response(200, worker_wire.answer(self.leadership.term, []))
+        if self.term is None or not self.term.ready:
+            return Response(200, worker_wire.answer(self.leadership.term, self._stops(report)))
         commands = self.term.checkin(report)
         if commands is None:
             return Response(503)
@@ -143,6 +160,14 @@
             return Response(200, worker_wire.answer(self.leadership.term, commands))
         return self._checked_in(commands, self.leadership.term)
 
+    def _stops(self, report: Report) -> list[Command]:
+        """What a node without books can and must say: tasks of cancelled jobs end."""
+        return [
+            Command(Op.STOP, row.job, row.index, row.attempt)
+            for row in report.tasks
+            if row.job in self.cancellations and row.state is not TaskState.EXITED
+        ]
+
     async def _checked_in(self, work: Awaitable[list[Command] | None], term: int) -> Response:
         commands = await work
         if commands is None:
--- a/src/passrock/controller/pump.py
+++ b/src/passrock/controller/pump.py
@@ -8,6 +8,7 @@
 
 from passrock.controller import keys
 from passrock.core.jobs import CANCELLED, DONE, Book, Chunk, Job, encode_spec
+from passrock.io.clock import steady, time_of_day
 from passrock.io.state import Committed, StateClient, StateError, StateUnknown
 from passrock.logs import debug, info
 from passrock.wire.state import Delete, Put, Write
@@ -149,7 +150,7 @@
                 job.chunk(0).stamp = entry.version if entry is not None else 0
                 mark, _ = await self.state.get(keys.cancel(job.spec.id))
                 if mark is not None and not job.cancelled:
-                    self.book.cancel(job)
+                    self.book.cancel(job, steady() + mark.value["at"] - time_of_day())
         except StateError:
             return False
         return True
--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import OrderedDict
 from collections.abc import Callable
 from threading import Lock
 
 from passrock.controller import keys
+from passrock.io.clock import steady
 from passrock.io.state import StateClient, StateError, TooOld
 from passrock.logs import info
 from passrock.wire.state import Change, Entry
@@ -40,6 +42,7 @@
         self.finals: OrderedDict[str, str] = OrderedDict()
         self.revision = -1
         self.loaded = False
+        self.read_at = -math.inf  # when the last read began that proved the copy whole as of then
         self.listeners: list[Listener] = []
         self._lock = Lock()
         self._moved = asyncio.Event()
@@ -50,8 +53,10 @@
             try:
                 if not self.loaded:
                     await self._load()
+                started = steady()
                 changes, revision = await self.state.changes(keys.ROOT, self.revision, WATCH_MS)
                 self._take(changes, revision)
+                self.proved(started)
                 # each new watch is a request: at a high rate of changes they are taken several at a time
                 await asyncio.sleep(WATCH_GAP / self.state.requests.rate)
             except TooOld:
@@ -60,6 +65,7 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _load(self) -> None:
+        started = steady()
         fresh: dict[str, Entry] = {}
         start: int | None = None
         for prefix in LOADED:
@@ -80,8 +86,13 @@
             self._tell(key, None)
         for key, entry in fresh.items():
             self._tell(key, entry)
+        self.proved(started)
         self._wake()
 
+    def proved(self, started: float) -> None:
+        """A read that began then has shown that the copy includes all that was committed before it."""
+        self.read_at = max(self.read_at, started)
+
     def _take(self, changes: list[Change], revision: int) -> None:
         for change in changes:
             entry = Entry(change.key, change.value, change.version) if change.present else None
@@ -155,8 +166,12 @@
     async def _read(self) -> bool:
         await asyncio.sleep(self.gap)
         self._next = None  # whoever asks from here on needs a later read
+        started = steady()
         try:
             _, revision = await self.state.get(keys.NOWHERE, timeout=1.0)
         except StateError:
             return False
-        return await self.replica.reach(revision, 0.7)
+        if not await self.replica.reach(revision, 0.7):
+            return False
+        self.replica.proved(started)
+        return True
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -15,6 +15,7 @@
 from passrock.controller.replica import Replica
 from passrock.controller.watch import Watch
 from passrock.core.aims import Aims
+from passrock.core.cancellations import Cancellations
 from passrock.core.checkin import Checkins
 from passrock.core.fleet import Command, Fleet, Machine, Report, TaskState
 from passrock.core.jobs import Book, Job, chunk_tasks
@@ -46,6 +47,7 @@
         state: StateClient,
         cloud: CloudClient,
         replica: Replica,
+        cancellations: Cancellations,
         leadership: Leadership,
         market: Market,
         rng: random.Random,
@@ -53,6 +55,7 @@
         self.settings = settings
         self.state = state
         self.replica = replica
+        self.cancellations = cancellations
         self.leadership = leadership
         self.market = market
         self.rng = rng
@@ -147,8 +150,11 @@
         for entry in self.replica.with_prefix(keys.CANCEL):
             job = self.book.jobs.get(entry.key[len(keys.CANCEL) :])
             if job is not None:
-                self.book.cancel(job)
+                self.book.cancel(job, self._told_at(entry))
         for job in list(self.book.jobs.values()):
+            heard = self.cancellations.when(job.spec.id)
+            if heard is not None:  # a peer may have told of it before the copy shows the mark
+                self.book.cancel(job, heard)
             self.book.check_loaded(job)
         for prefix in (keys.RESERVATION, keys.MORE):
             for entry in self.replica.with_prefix(prefix):
@@ -181,13 +187,30 @@
                     image=job.spec.image,
                 )
                 self.poke()
+                heard = self.cancellations.when(job_id)
+                if heard is not None:
+                    self.cancelled(job_id, heard)
         elif key.startswith(keys.CANCEL) and entry is not None:
-            job_or_none = self.book.jobs.get(key[len(keys.CANCEL) :])
-            if job_or_none is not None and not job_or_none.cancelled:
-                info("job_cancelled", job=job_or_none.spec.id)
-                self.book.cancel(job_or_none)
-                self.pump.wake.set()
-                self.poke()
+            self.cancelled(key[len(keys.CANCEL) :], self._told_at(entry))
+
+    @staticmethod
+    def _told_at(mark: Entry) -> float:
+        """When a cancellation may have been told at the earliest, by this process's steady clock.
+
+        Whoever takes over counts from then, not from its own beginning.
+        """
+        return steady() - max(0.0, time_of_day() - mark.value["at"])
+
+    def cancelled(self, job_id: str, at: float) -> None:
+        """A cancellation is committed, as the copy of the state or a peer says."""
+        job = self.book.jobs.get(job_id)
+        if job is None or not self.ready:
+            return
+        if not job.cancelled:
+            info("job_cancelled", job=job_id)
+        self.book.cancel(job, at)
+        self.pump.wake.set()
+        self.poke()
 
     def round_early(self) -> None:
         """Demand or machines changed: the next round comes early, though not at once again."""
@@ -215,13 +238,13 @@
         now = steady()
         kind = self.market.types.get(report.type)
         if not self.ready or kind is None:
-            return []
+            return None  # nothing is known of such a machine's tasks: no renewal that isn't noted
         known = self.fleet.machines.get(report.machine)
         was_usable = known is not None and known.up and known.confirmed
         machine = self.fleet.observe(report, kind, now)
         if machine is None:
             return None  # a late copy, or of a machine that is gone: an answer could only renew by mistake
-        commands = self.checkins.handle(machine, report, now, launch=self.leadership.firm())
+        commands = self.checkins.handle(machine, report, now, launch=self.leadership.may_launch())
         if self.checkins.changed:
             self._log_changes(machine, now)
             self.poke()
@@ -266,7 +289,7 @@
                 break
         if machine.deleting or self.fleet.machines.get(machine.name) is not machine:
             return None
-        if self.leadership.firm():
+        if self.leadership.may_launch():
             commands += self.checkins.launches(machine, report)
         machine.answered = steady()
         return commands
@@ -294,7 +317,9 @@
         if now - self._last_tick > self.settings.report_s:
             self.fleet.began = now  # this process stood still: silence in that time proves nothing
         self._last_tick = now
-        if not self.leadership.firm():
+        if not self.leadership.holds_lease():
+            if self.leadership.may_renew():
+                self.watch.clear_cancelled(now)  # the time for these runs on through an outage
             return
         self.leadership.check_fence()
         planning = now >= self._plan_due
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -10,6 +10,7 @@
 from passrock.controller import keys
 from passrock.controller.replica import ReadFence, Replica
 from passrock.core.admission import Limiter, fault
+from passrock.core.cancellations import Cancellations
 from passrock.core.jobs import CANCELLED, DONE, chunk_tasks, fits_record, new_record
 from passrock.core.model import Spec
 from passrock.core.renting import Market
@@ -113,6 +114,7 @@
         settings: Settings,
         state: StateClient,
         replica: Replica,
+        cancellations: Cancellations,
         market: Market,
         limiter: Limiter,
         rng: random.Random,
@@ -120,6 +122,7 @@
         self.settings = settings
         self.state = state
         self.replica = replica
+        self.cancellations = cancellations  # a job stands there before its user is told
         self.market = market
         self.limiter = limiter
         self.rng = rng
@@ -208,6 +211,7 @@
             if entry is not None:  # the copy lags: whether it is cancelled has to be read as well
                 mark, _ = await self.state.get(keys.cancel(job_id), timeout=0.8)
                 if mark is not None:
+                    self.cancellations.learn(job_id, steady())
                     return Known(CANCELLED)
                 return Known("queued", int(entry.value["d"], 16).bit_count(), len(entry.value["l"]))
         status = self.replica.finals.get(job_id)
@@ -276,5 +280,6 @@
             except StateUnknown:
                 continue  # read again: it may have been applied
             if isinstance(result, Committed):
+                self.cancellations.learn(job_id, steady())
                 return Response(200, wire.brief_answer(job_id, CANCELLED))
         raise Unavailable("undecided")
--- a/src/passrock/controller/watch.py
+++ b/src/passrock/controller/watch.py
@@ -13,9 +13,10 @@
 from passrock.logs import info
 from passrock.settings import Settings
 
-MADE_WAY = 6  # where more than a sixth of the fleet turns up at other controllers, the silence is this one's fault
+ABDICATE_PART = 6  # if more than a sixth of the fleet turns up at other controllers, the silence is this one's fault
 CROWD, CROWD_LEAST = 8, 4  # silent machines above an eighth of the fleet, and four, are a crowd:
 CROWD_PATIENCE = 0.9  # of the lease, which by then has all but ended, before one of a crowd with replicas is given up
+CLEAR_PART = 0.5  # of cancel_s, before a silent machine with tasks of a cancelled job is deleted
 DEATH_SHOWN_S = 30.0  # until the cloud's list shows a machine that died as failed
 
 
@@ -36,6 +37,7 @@
     def look(self, now: float) -> None:
         """Take note of silence, deafness and ends of leases; have machines deleted that won't serve again."""
         fleet = self.fleet
+        self.clear_cancelled(now)
         fleet.wait_s = WORKER_WAIT_S if self.leadership.peer_hangs() else 0.0
         # a machine that holds tasks of an earlier term counts too, though it may never report in this one
         up = [m for m in fleet.machines.values() if not m.deleting and (m.up or m.name in self.book.held)]
@@ -49,7 +51,7 @@
         for machine in up:
             if fleet.lease_over(machine, now, self.leadership.fenced_at) and machine.name in self.book.held:
                 info("lease_over", machine=machine.name)
-                self.book.machine_gone(machine.name, now)
+                self.book.lease_over(machine.name, now)
             if machine.notice_until is not None and machine.name not in self.book.held and not machine.strays:
                 self.rentals.delete(machine)
             if len(machine.failed_jobs) > 1:
@@ -68,6 +70,23 @@
                 elif name in fleet.deleted:
                     self.rentals.on_gone(name)
 
+    def clear_cancelled(self, now: float) -> None:
+        """Have machines deleted that may hold tasks of cancelled jobs and don't report, before the time is up.
+
+        A hung machine holds its tasks beyond its lease, until it wakes or is gone. Neither a crowd's patience nor
+        an outage of the state service changes that.
+        """
+        due = now - self.settings.cancel_s * CLEAR_PART
+        for job in self.book.cancelled.values():
+            if job.cancelled_at > due:
+                continue
+            for live in list(job.lives()):
+                machine = self.fleet.machines.get(live.machine)
+                if machine is None or machine.deleting or not self.fleet.silent(machine, now):
+                    continue
+                info("cancelled_task_silent", machine=machine.name, job=job.spec.id, after_s=now - job.cancelled_at)
+                self.rentals.delete(machine)
+
     def _silence(self, up: list[Machine], now: float) -> bool:
         """Give up what has been silent for too long; True when the fault lies here and the leader made way."""
         fleet = self.fleet
@@ -78,9 +97,9 @@
         missing = sum(fleet.overdue(m, now) for m in up) + len(self.given_up)
         limit = max(CROWD_LEAST, (len(up) + len(self.given_up)) / CROWD)
         crowd = missing > limit
-        if len(silent) > limit and self.leadership.workers_elsewhere() * MADE_WAY > len(up):
+        if len(silent) > limit and self.leadership.workers_elsewhere() * ABDICATE_PART > len(up):
             # cut off from the workers alone: the state service and the peers don't show it
-            self.leadership.make_way()
+            self.leadership.abdicate()
             return True
         if len(silent) * 2 <= len(up) + 2:
             for machine in silent:
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -132,6 +133,7 @@
         self.chunk_size = chunk_size
         self.chunks: dict[int, Chunk] = {}
         self.cancelled = False
+        self.cancelled_at = math.inf  # by the steady clock, no later than the user was told
         self.final: str | None = None
         self.done_count = 0
         self.live_count = 0
@@ -229,6 +231,7 @@
         self.usage: dict[str, Amount] = {}
         self.dirty: dict[tuple[str, int], None] = {}
         self.finishing: dict[str, None] = {}
+        self.cancelled: dict[str, Job] = {}  # those of which tasks may still be somewhere, or that await their end
 
     # -- reading records ------------------------------------------------------------------
 
@@ -369,9 +372,11 @@
             job.requeued.discard(index)
         self._maybe_finish(job)
 
-    def cancel(self, job: Job) -> None:
-        """The user has been told that the job is cancelled."""
+    def cancel(self, job: Job, at: float) -> None:
+        """The user has been told that the job is cancelled, at ``at`` or later."""
         job.cancelled = True
+        self.cancelled[job.spec.id] = job
+        job.cancelled_at = min(job.cancelled_at, at)
         for live in list(job.lives()):
             live.stop = 0.0
             if self.unsent(live):
@@ -386,10 +391,21 @@
     def remove(self, job: Job) -> None:
         """The job's final state is committed."""
         self.jobs.pop(job.spec.id, None)
+        self.cancelled.pop(job.spec.id, None)
         self.finishing.pop(job.spec.id, None)
         for number in job.chunks:
             self.dirty.pop((job.spec.id, number), None)
 
+    def lease_over(self, name: str, now: float) -> None:
+        """The machine's worker has lost its lease: its tasks end, at the latest when it wakes from hanging.
+
+        Those of cancelled jobs are held on to until a report or a deletion shows them gone: the time for them
+        runs while a machine hangs, also for the next leader, which knows of them by these records alone.
+        """
+        for live in list(self.held.get(name, {}).values()):
+            if not live.job.cancelled:
+                self.gone(live, now)
+
     def machine_gone(self, name: str, now: float) -> int:
         """Nothing is left on the machine; how many attempts went with it."""
         lives = list(self.held.get(name, {}).values())
--- a/src/passrock/io/peers.py
+++ b/src/passrock/io/peers.py
@@ -4,22 +4,28 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Protocol
 
 import msgspec
 
+from passrock.core.cancellations import Cancellations, PeerKnowledge
 from passrock.io.clock import steady
 from passrock.logs import debug
 from passrock.settings import Address, Peer
 
 LENGTH = 4
 MESSAGE_LIMIT = 16 * 1024
+PIECE = 100  # cancellations in one message, far inside its limit
 
 
 class Hello(msgspec.Struct, frozen=True):
     """A controller's view: the highest term it knows, whether it leads, how it sees the state service.
 
-    ``turned`` counts the workers of that term which it had to send to the leader lately.
+    ``redirects`` counts the workers of that term which it had to send to the leader lately. ``run`` tells one life
+    of the process from another. It knows every cancellation that anyone was told of ``whole_age`` seconds ago or
+    earlier (None: it can't say); ``cancelled`` are entries of its list of them from number ``first`` on, out of
+    ``total``. The sender has taken in the receiver's list, of its life ``taken_run``, up to number ``taken``.
     """
 
     node: str
@@ -27,7 +33,24 @@
     leading: bool
     state_down: bool
     has_read: bool
-    turned: int = 0
+    redirects: int = 0
+    run: int = 0
+    whole_age: float | None = None
+    taken_run: int = 0
+    taken: int = 0
+    first: int = 0
+    total: int = 0
+    cancelled: tuple[str, ...] = ()
+
+    def fault(self) -> str | None:
+        """What this message says that can't be, or None."""
+        if min(self.term, self.redirects, self.run, self.taken_run, self.taken, self.first, self.total) < 0:
+            return "a negative number"
+        if self.first + len(self.cancelled) > self.total:
+            return "more entries than there are"
+        if self.whole_age is not None and not 0.0 <= self.whole_age < float("inf"):
+            return "an age that can't be"
+        return None
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -67,8 +90,11 @@
             body, self.buffer = self.buffer[LENGTH : LENGTH + size], self.buffer[LENGTH + size :]
             try:
                 message = _decoder.decode(body)
+                fault = message.fault()
             except msgspec.DecodeError as error:
-                self.drop(str(error))
+                fault = str(error)
+            if fault is not None:
+                self.drop(fault)
                 return
             self.receive(self, message)
 
@@ -93,6 +119,7 @@
         self.answer: Hello | None = None
         self.asked_at = -1e9
         self.waiting_since: float | None = None
+        self.heard: Callable[[Hello, float], None] = lambda hello, asked_at: None
         self._sent: list[float] = []
 
     async def ask(self, hello: Hello, timeout: float) -> None:
@@ -121,10 +148,15 @@
         self.connection.send(hello)
 
     def _answered(self, connection: PeerConnection, hello: Hello) -> None:
-        if connection is self.connection and self._sent:
-            self.waiting_since = None
-            self.asked_at = self._sent.pop(0)
-            self.answer = hello
+        if connection is not self.connection or not self._sent:
+            return
+        if hello.node != self.peer.node:
+            connection.drop("another node's answer")
+            return
+        self.waiting_since = None
+        self.asked_at = self._sent.pop(0)
+        self.answer = hello
+        self.heard(hello, self.asked_at)
 
 
 class Link(Protocol):
@@ -133,6 +165,7 @@
     answer: Hello | None
     asked_at: float
     waiting_since: float | None  # asked since then with neither an answer nor a refusal
+    heard: Callable[[Hello, float], None]  # called with each answer and when it was asked for
 
     async def ask(self, hello: Hello, timeout: float) -> None:
         """Send our view."""
@@ -141,10 +174,21 @@
 class Peers:
     """All other controllers."""
 
-    def __init__(self, links: Sequence[Link], own_view: Callable[[], Hello], seen: Callable[[Hello], None]) -> None:
+    def __init__(
+        self,
+        links: Sequence[Link],
+        own_view: Callable[[], Hello],
+        seen: Callable[[Hello], None],
+        cancellations: Cancellations,
+    ) -> None:
         self.links = links
         self.own_view = own_view
         self.seen = seen
+        self.cancellations = cancellations
+        self.learned: Callable[[str], None] = lambda job_id: None
+        self.knowledge = [PeerKnowledge() for _ in links]
+        for link, knowledge in zip(links, self.knowledge, strict=True):
+            link.heard = partial(self._heard, knowledge)
 
     async def listen(self, address: Address) -> asyncio.Server:
         """Answer the other controllers."""
@@ -155,18 +199,34 @@
         connection.send(self.reply(hello))
 
     def reply(self, hello: Hello) -> Hello:
-        """Take in a peer's view and give ours."""
+        """Take in a peer's view and give ours, with the cancellations that it doesn't know yet."""
+        self.seen(hello)
+        view = self.own_view()
+        start = hello.taken if hello.taken_run == view.run else 0
+        first, entries = self.cancellations.piece(start, PIECE)
+        total = self.cancellations.total
+        return msgspec.structs.replace(view, first=first, total=total, cancelled=tuple(entries))
+
+    def _heard(self, knowledge: PeerKnowledge, hello: Hello, asked_at: float) -> None:
+        """Enter what a peer knows of cancellations, before the answer counts for anything."""
+        fresh = knowledge.take(
+            hello.run, hello.has_read, hello.whole_age, hello.first, hello.total, hello.cancelled, asked_at
+        )
+        for job_id in fresh:
+            if self.cancellations.learn(job_id, steady()):
+                self.learned(job_id)
         self.seen(hello)
-        return self.own_view()
 
     async def run(self, every: float) -> None:
         """Ask every peer again and again."""
         while True:
             hello = self.own_view()
-            await asyncio.gather(*(link.ask(hello, every) for link in self.links))
-            for link in self.links:
-                if link.answer is not None:
-                    self.seen(link.answer)
+            await asyncio.gather(
+                *(
+                    link.ask(msgspec.structs.replace(hello, taken_run=known.run, taken=known.taken), every)
+                    for link, known in zip(self.links, self.knowledge, strict=True)
+                )
+            )
             await asyncio.sleep(every)
 
     def answers(self, since: float) -> list[tuple[Hello, float]]:
--- a/src/passrock/settings.py
+++ b/src/passrock/settings.py
@@ -8,8 +8,11 @@
 from typing import Any
 
 from passrock.core.aims import Objective
+from passrock.core.cancellations import renewal_horizon
 from passrock.core.model import Team
 
+KNOWN_WITHIN = 2  # report intervals, the least in which a cancellation can become known to the leader
+
 
 class SettingsError(Exception):
     """A settings file that can't be used; carries every fault found."""
@@ -83,6 +86,7 @@
     report_s: float
     lease_s: float
     gang_peer_s: float
+    cancel_s: float
     state_rps: float
     state_write_rps: float
     value_bytes: int
@@ -220,6 +224,7 @@
                 read.number(row, "share", where, default=0.0),
             )
         )
+    _check_times(workers, faults)
     return Settings(
         node=read.text(data, "node", ""),
         zone=read.text(data, "area", ""),
@@ -234,6 +239,7 @@
         report_s=read.number(workers, "report_s", "deployment.workers.", above=True),
         lease_s=read.number(workers, "lease_s", "deployment.workers.", above=True),
         gang_peer_s=read.number(workers, "gang_peer_s", "deployment.workers.", above=True),
+        cancel_s=read.number(workers, "cancel_s", "deployment.workers.", above=True),
         state_rps=read.number(state, "rps", "deployment.state.", above=True),
         state_write_rps=read.number(state, "write_rps", "deployment.state.", above=True),
         value_bytes=int(read.number(state, "value_kb", "deployment.state.", low=1.0) * 1024),
@@ -245,6 +251,19 @@
     )
 
 
+def _check_times(workers: dict[str, Any], faults: list[str]) -> None:
+    """A cancellation needs a worker's lease, and knowledge of it a few reports more, to take effect."""
+    times = [workers.get(key) for key in ("cancel_s", "lease_s", "report_s")]
+    if not all(isinstance(time, int | float) and not isinstance(time, bool) for time in times):
+        return  # named already
+    cancel, lease, report = (float(time) for time in times if time is not None)
+    if renewal_horizon(cancel, lease, report) < KNOWN_WITHIN * report:
+        faults.append(
+            f"deployment.workers.cancel_s: {cancel} must be above lease_s ({lease}) and "
+            f"{KNOWN_WITHIN + 1} times report_s ({report})"
+        )
+
+
 def read_operator(path: Path, faults: list[str]) -> Operator:
     """Read the HCL file; unknown and out-of-range entries are faults by name."""
     import hcl2  # a slow import, and only needed where operators have such a file
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -99,6 +99,8 @@
             asyncio.get_running_loop().call_later(rng.uniform(1.0, 20.0), self._late, method, path, body)
             await asyncio.Event().wait()
         status, answer = await self.service.handle(method, path, body)
+        while self.is_state and watch and self.node.refused:  # a watch that was open waits as in an outage
+            await asyncio.sleep(0.2)
         if changing and rng.random() < world.lost_share:
             await asyncio.Event().wait()
         await asyncio.sleep(rng.uniform(0.001, 0.004))
@@ -118,6 +120,7 @@
         self.answer = None
         self.asked_at = -1e9
         self.waiting_since = None
+        self.heard = lambda hello, asked_at: None
 
     async def ask(self, hello, timeout):
         other = self.world.nodes.get(self.peer)
@@ -133,6 +136,7 @@
             self.answer = other.node.peers.reply(hello)
             self.asked_at = sent
             self.waiting_since = None
+            self.heard(self.answer, sent)
 
 
 class SimNode:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -35,6 +35,11 @@
         ("deployment.zones", []),
         ("deployment.workers.lease_s", 0.0),
         ("deployment.workers.report_s", "1"),
+        ("deployment.workers.cancel_s", None),
+        ("deployment.workers.cancel_s", "35"),
+        ("deployment.workers.cancel_s", 0.0),
+        ("deployment.workers.cancel_s", 10.0),  # no longer than a lease: nothing could be kept
+        ("deployment.workers.cancel_s", float("nan")),
         ("deployment.state.txn_ops", 1),
         ("deployment.teams", [{"gpus": 1.0}]),
         ("deployment.teams", [{"name": "a"}, {"name": "a"}]),
