--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -213,7 +213,10 @@
                 if mark is not None:
                     self.cancellations.learn(job_id, steady())
                     return Known(CANCELLED)
-                return Known("queued", int(entry.value["d"], 16).bit_count(), len(entry.value["l"]))
+                # the job may have ended between the two reads, and its mark with it
+                ended, _ = await self.state.get(keys.final(job_id), timeout=0.8)
+                if ended is None:
+                    return Known("queued", int(entry.value["d"], 16).bit_count(), len(entry.value["l"]))
         status = self.replica.finals.get(job_id)
         if status is not None:
             return Known(status)
@@ -237,12 +240,16 @@
         if not types or not self.replica.loaded:
             return self._refuse(503)
         problem_text = fault(spec, self.settings.teams, types)
-        if problem_text is not None:
+        if problem_text is not None and not self._known_job(spec.id):
             return Response(422, wire.error_answer(problem_text))
         if self.state.writes.wait(steady()) > 1.0:
             return self._refuse(429)
         return self._limited(self._submit(spec))
 
+    def _known_job(self, job_id: str) -> bool:
+        """Whether the job was accepted once: then its state is the answer, though the types on offer have changed."""
+        return job_id in self.replica.finals or self.replica.get(keys.job(job_id)) is not None
+
     async def _submit(self, spec: Spec) -> Response:
         try:
             async with asyncio.timeout(SUBMIT_PATIENCE_S):
--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -71,7 +71,7 @@
                 if live.state is None:
                     fetching.setdefault(live.job.spec.image, live.job.spec.image_gb)
         if self.unheeded:
-            machine.unheeded += 1
+            machine.ignored(now)
         machine.fetching = {image: gb for image, gb in fetching.items() if image not in machine.images}
         self.book.recount(machine, now)
         return commands
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -110,6 +110,7 @@
     returning: bool = False  # one report has come after a silence, and none since
     crowd: bool = False  # went silent with many others, and stays one of them although some are back
     unheeded: int = 0  # answers in a row that had no effect on what it reported next
+    unheeded_at: float = 0.0  # when the last of these was noticed
     notice_until: float | None = None
     deleting: bool = False
     blocked_until: float = 0.0
@@ -133,6 +134,11 @@
         """Whether it is known that answers reach the worker, and not only its reports the leader."""
         return self.confirmed and not self.returning and self.unheeded < UNHEEDED_MOST
 
+    def ignored(self, now: float) -> None:
+        """An answer had no effect on what the machine reported next."""
+        self.unheeded += 1
+        self.unheeded_at = now
+
     def fetched(self, spec: Spec) -> None:
         """The machine has this image now; the least recently used ones make room."""
         self.fetching.pop(spec.image, None)
@@ -198,7 +204,9 @@
             machine.up = True
             machine.up_since = machine.idle_since = now
         elif report.session > machine.session and now - machine.answered < self.lease_s:
-            machine.unheeded += 1  # its lease ran out although it was answered
+            machine.ignored(now)  # its lease ran out although it was answered
+        if report.session == machine.session and now - machine.unheeded_at > 2 * self.longest_lease():
+            machine.unheeded = 0  # a session outlives a lease only if answers arrive: it hears again
         machine.confirmed = machine.confirmed or report.token == self.term
         machine.session, machine.seq = report.session, report.seq
         machine.heard = now
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -14,6 +14,9 @@
         self.accepted = set()
         self.cancel_asked = set()
         self.unanswered_since = {}
+        self.watch_waits = False  # whether jobs are looked at that wait although there is room
+        self.waiting_since = {}
+        self.starts_cancelled = 0  # within cancel_s of the confirmation: allowed for commands under way, and counted
 
     def break_rule(self, rule, detail):
         self.broken.append((round(self.world.now(), 3), rule, detail))
@@ -32,6 +35,7 @@
         told = self.told_cancelled.get(task.job)
         if told is not None and self.world.now() - told > self.world.limits["cancel_s"]:
             self.break_rule("ran_cancelled", f"{key} started")
+        self.starts_cancelled += told is not None
 
     def ended(self, worker, task):
         self.present.get((task.job, task.index), set()).discard((worker.name, task.attempt))
@@ -73,6 +77,46 @@
                 self.break_rule("ran_cancelled", f"{job}/{index} still on {places}")
                 self.told_cancelled[job] = now
 
+        if self.watch_waits and now > self.world.trouble_until:
+            self._look_at_waits(now)
+
+    def _look_at_waits(self, now):
+        """Once troubles are over, no job may wait for 90 s while a fitting machine has room."""
+        placed = {job for (job, _), places in self.present.items() if places}
+        for job in self.accepted:
+            spec = self.world.specs[job]
+            over = job in self.cancel_asked or self.told[job][1] in ("done", "cancelled")
+            tasks = 1 if spec["format"] == "batch" else spec["volumes"]
+            if over or job in placed or not self._has_room(spec, tasks):
+                self.waiting_since.pop(job, None)
+            elif now - max(self.waiting_since.setdefault(job, now), self.world.trouble_until) > 90.0:
+                self.break_rule("left_waiting", job)
+                self.waiting_since[job] = now
+
+    def _has_room(self, spec, tasks):
+        """Whether a job could begin on what is up."""
+        used = sum(
+            self.world.specs[job]["cards"] * len(places)
+            for (job, _), places in self.present.items()
+            if self.world.specs[job]["desk"] == spec["desk"]
+        )
+        if used + spec["cards"] * tasks > self.world.limits["gpus_max"]:
+            return False
+        zones = {}
+        for worker in self.world.workers.values():
+            if worker.hung_until > self.world.now() or worker.notice_end is not None or worker.sick:
+                continue
+            if (spec["branch"] not in (None, worker.zone)) or (worker.spot and not spec["loaners"]):
+                continue
+            size = self.world.cloud.types[worker.type]
+            held = [self.world.specs[t.job] for t in worker.tasks.values() if t.state != "exited"]
+            fits = min(
+                int((size[field] - sum(one[field] for one in held) + 1e-6) / spec[field])
+                for field in ("cores", "cards", "ramGb")
+            )
+            zones[worker.zone] = zones.get(worker.zone, 0) + fits
+        return (max(zones.values(), default=0) if spec["samePlace"] else sum(zones.values())) >= tasks
+
     def asked(self, job):
         """A user asks about an accepted job; once troubles are over it may not go unanswered for 75 s."""
         now = self.world.now()
@@ -91,6 +135,8 @@
             self.break_rule("forgotten", f"{job} unknown")
         if status not in (200, 201):
             return
+        if job in self.world.impossible:
+            self.break_rule("accepted_impossible", job)
         self.unanswered_since.pop(job, None)
         if job not in self.world.specs:
             self.break_rule("invented", job)
--- a/tests/standins/state_service.py
+++ b/tests/standins/state_service.py
@@ -18,6 +18,7 @@
         self.outage = False
         self.kept = 10_000
         self.commits = 0
+        self.late_after_newer = 0  # requests without an answer, carried out after newer ones of the same node
         self.txn_ops, self.value_bytes, self.oversized = 12, 4096, 0
 
     def _now(self):
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -76,6 +76,7 @@
 
     def __init__(self, world, node, service, state):
         self.world, self.node, self.service, self.is_state = world, node, service, state
+        self.sent = 0  # changing requests so far
 
     async def request(self, method, path, body=b"", timeout=2.0):
         try:
@@ -88,15 +89,16 @@
         world, rng = self.world, self.world.rng
         if not self.node.alive:
             await asyncio.Event().wait()
-        await asyncio.sleep(rng.uniform(0.001, 0.006))
+        await asyncio.sleep(rng.uniform(0.001, 0.006) + (world.state_delay if self.is_state else 0.0))
         watch = path.startswith("/changes")
         while self.is_state and watch and self.node.refused:
             await asyncio.sleep(0.2)
         if self.is_state and self.node.refused:
             return 503, b""
         changing = method != "GET"
+        self.sent += changing
         if changing and rng.random() < world.late_share:
-            asyncio.get_running_loop().call_later(rng.uniform(1.0, 20.0), self._late, method, path, body)
+            asyncio.get_running_loop().call_later(rng.uniform(1.0, 20.0), self._late, self.sent, method, path, body)
             await asyncio.Event().wait()
         status, answer = await self.service.handle(method, path, body)
         while self.is_state and watch and self.node.refused:  # a watch that was open waits as in an outage
@@ -108,7 +110,9 @@
             await asyncio.Event().wait()
         return status, answer
 
-    def _late(self, method, path, body):
+    def _late(self, number, method, path, body):
+        if self.is_state and self.sent > number:
+            self.world.state.late_after_newer += 1
         self.world.spawn(self.service.handle(method, path, body))
 
 
@@ -207,11 +211,13 @@
         self.late_share, self.lost_share = late, lost
         self.specs, self.run_times, self.progress = {}, {}, {}
         self.completed = set()
+        self.impossible = set()  # submitted though they can't run or lack a field
         self.workers, self.zone_of = {}, {}
         self.cuts = []  # (kind, name, until)
         self.freezes = freezes  # controllers stand still now and then
         self.copy_share = copies  # of reports that arrive once more, much later
         self.trouble_until = 0.0
+        self.state_delay = 0.0  # the state service answers so much more slowly
         self.checker = Checker(self)
         self.state = StateService()
         types = {"box": dict(BOX, branches=list(zones))}
@@ -291,7 +297,8 @@
         """Run time left; kept results complete at once."""
         if (task.job, task.index) in self.completed:
             return 0.0
-        return self.run_times[task.job]
+        times = self.run_times[task.job]
+        return times[task.index] if isinstance(times, list) else times
 
     # -- network -------------------------------------------------------------------------------------
 
@@ -304,14 +311,19 @@
         ends = [until for kind, name, until in self.cuts if kind == "machine" and name == worker.name]
         return max(ends, default=0.0)
 
-    def is_deaf(self, worker):
-        """Whether reports leave the machine while nothing reaches it."""
-        return any(kind == "deaf" and name == worker.name and until > self.now() for kind, name, until in self.cuts)
+    def is_cut(self, what, name):
+        """Whether a machine is ``deaf`` (reports leave it, nothing reaches it), ``mute`` (it opens no connection),
+        or a ``slow_answer`` reaches it seconds late."""
+        return any(kind == what and cut == name and until > self.now() for kind, cut, until in self.cuts)
 
     async def to_node(self, worker, name, body, timeout):
         """A worker's report and its answer."""
         async with asyncio.timeout(timeout):
             await asyncio.sleep(self.rng.uniform(0.001, 0.01))
+            if self.is_cut("outside", worker.zone) != self.is_cut("outside", self.nodes[name].zone):
+                await asyncio.Event().wait()  # one of the two is in a zone that is cut off
+            if self.is_cut("mute", worker.name):
+                raise ConnectionError("no connection opens")
             if any(kind == "workers" and cut == name and end > self.now() for kind, cut, end in self.cuts):
                 await asyncio.Event().wait()  # this node is cut off from all workers
             until = self.cut_until(worker)
@@ -325,7 +337,9 @@
                 asyncio.get_running_loop().call_later(delay, self._late_report, target, body)
             response = await self._ask(name, Request("POST", "/checkin", body))
             await asyncio.sleep(self.rng.uniform(0.001, 0.01))
-            if self.cut_until(worker) > self.now() or self.is_deaf(worker):
+            if self.is_cut("slow_answer", worker.name):
+                await asyncio.sleep(self.rng.uniform(2.0, 3.8))
+            if self.cut_until(worker) > self.now() or self.is_cut("deaf", worker.name):
                 await asyncio.Event().wait()
             return response.status, cbor2.loads(response.body) if response.body else {}
 
@@ -433,6 +447,30 @@
             if status:
                 self.checker.answered(job, at, status, answer)
 
+    async def withdraw(self, job, node=None):
+        """A user cancels, once; whether it was confirmed."""
+        self.checker.cancel_asked.add(job)
+        at = self.now()
+        status, answer = await self.ask("POST", f"/v2/runs/{job}/withdraw", node=node)
+        if status:
+            self.checker.answered(job, at, status, answer)
+        return status == 200 and answer["status"] == "cancelled"
+
+    async def withdraw_until_told(self, job):
+        """A user who repeats the request until it is answered."""
+        while not await self.withdraw(job) and self.checker.told.get(job, (0, ""))[1] != "done":
+            await asyncio.sleep(1.0)
+
+    def leaders(self):
+        """Names of the nodes that lead by an unexpired key at this moment."""
+        return [name for name, sim in self.nodes.items() if sim.alive and sim.node.leadership.holds_lease()]
+
+    async def a_leader(self):
+        """The leader's name, as soon as there is one."""
+        while not self.leaders():
+            await asyncio.sleep(0.1)
+        return self.leaders()[0]
+
     # -- faults ------------------------------------------------------------------------------------------
 
     async def crash(self, names, back_after):
