Tests of the knowledge of cancellations, and unsafe variants that the checker catches

A controller that takes in nothing, one that renews without knowledge where the teller is gone, one that waits for a crowd with cancelled tasks, one that accepts anything, one that stops placing, one that leaves a question unanswered: each is caught.

--- a/src/passrock/controller/watch.py
+++ b/src/passrock/controller/watch.py
@@ -50,8 +50,9 @@
                 self.rentals.delete(machine)
         for machine in up:
             if fleet.lease_over(machine, now, self.leadership.fenced_at) and machine.name in self.book.held:
-                info("lease_over", machine=machine.name)
-                self.book.lease_over(machine.name, now)
+                lost = self.book.lease_over(machine.name, now)
+                if lost:
+                    info("lease_over", machine=machine.name, tasks=lost)
             if machine.notice_until is not None and machine.name not in self.book.held and not machine.strays:
                 self.rentals.delete(machine)
             if len(machine.failed_jobs) > 1:
@@ -84,7 +85,12 @@
                 machine = self.fleet.machines.get(live.machine)
                 if machine is None or machine.deleting or not self.fleet.silent(machine, now):
                     continue
-                info("cancelled_task_silent", machine=machine.name, job=job.spec.id, after_s=now - job.cancelled_at)
+                info(
+                    "cancelled_task_silent",
+                    machine=machine.name,
+                    job=job.spec.id,
+                    after_s=round(now - job.cancelled_at, 1),
+                )
                 self.rentals.delete(machine)
 
     def _silence(self, up: list[Machine], now: float) -> bool:
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -396,15 +396,17 @@
         for number in job.chunks:
             self.dirty.pop((job.spec.id, number), None)
 
-    def lease_over(self, name: str, now: float) -> None:
+    def lease_over(self, name: str, now: float) -> int:
         """The machine's worker has lost its lease: its tasks end, at the latest when it wakes from hanging.
 
         Those of cancelled jobs are held on to until a report or a deletion shows them gone: the time for them
         runs while a machine hangs, also for the next leader, which knows of them by these records alone.
+        Returns how many attempts went.
         """
-        for live in list(self.held.get(name, {}).values()):
-            if not live.job.cancelled:
-                self.gone(live, now)
+        lives = [live for live in self.held.get(name, {}).values() if not live.job.cancelled]
+        for live in lives:
+            self.gone(live, now)
+        return len(lives)
 
     def machine_gone(self, name: str, now: float) -> int:
         """Nothing is left on the machine; how many attempts went with it."""
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -479,6 +479,7 @@
             self.nodes[name].kill()
         await asyncio.sleep(back_after)
         for name in names:
+            self.nodes[name].kill()  # crashes may overlap: never two processes of one node
             self.nodes[name] = SimNode(self, int(name[1:]))
 
     async def outage(self, for_s):
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -5,6 +5,12 @@
 import cbor2
 import pytest
 
+from passrock.controller.leadership import Leadership
+from passrock.controller.users import Unavailable, Users
+from passrock.controller.watch import Watch
+from passrock.core.cancellations import PeerKnowledge
+from passrock.core.placement import Placer
+from passrock.io.clock import steady
 from standins import virtual_loop
 from standins.world import World
 
@@ -39,7 +45,7 @@
 ]
 
 
-async def gap(seed, trouble, confirm_after=1.5, outage_s=None):
+async def gap(seed, trouble, pause=0.3):
     """The state service refuses the leader alone, another node confirms, then the service is out for all."""
     world, leader = await settled(seed)
     teller, third = others(world, leader)
@@ -49,7 +55,10 @@
     ((machine, _),) = world.checker.present[("wk-000000", 0)]
     cancel_s = world.limits["cancel_s"]
     world.spawn(world.refuse(leader, 14.0))
-    await asyncio.sleep(confirm_after)
+    await asyncio.sleep(1.5)
+    if not pause:
+        world.spawn(world.refuse(third, 1.0))  # nobody but the teller can know
+        await asyncio.sleep(0.5)
     confirmed = await world.withdraw("wk-000000", teller)
     known = world.nodes[leader].node.replica.get("p/c/wk-000000") is not None
     if trouble == "teller crashes":
@@ -62,13 +71,13 @@
         world.cuts.append(("peers", teller, world.now() + cancel_s * 1.5))
     elif trouble == "machine hangs":
         world.workers[machine].hung_until = world.now() + cancel_s * 3
-    await asyncio.sleep(0.3)
-    world.spawn(world.outage(outage_s or cancel_s * 1.4))
+    await asyncio.sleep(pause)
+    world.spawn(world.outage(cancel_s * 1.4))
     if trouble == "all restart":
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(10 * pause)
         await world.crash(list(world.nodes), 1.0)
     elif trouble == "leader restarts":
-        await asyncio.sleep(4.0)
+        await asyncio.sleep(10 * pause)
         await world.crash([leader], 1.0)
     bystanders = {
         job
@@ -84,13 +93,13 @@
 
 
 @pytest.mark.parametrize(("trouble", "lives_on"), GAPS)
-@pytest.mark.parametrize("seed", [200, 201])
-def test_gap_between_a_refused_leader_and_an_outage(seed, trouble, lives_on):
+@pytest.mark.parametrize(("seed", "pause"), [(200, 0.3), (201, 0.0)])
+def test_gap_between_a_refused_leader_and_an_outage(seed, pause, trouble, lives_on):
     """A leader that renews through an outage must know each cancellation that another controller confirmed.
 
     It once went by a majority's view of the service and the term alone, and kept cancelled tasks alive.
     """
-    world, confirmed, known, survivors, led, starts = virtual_loop.run(gap(seed, trouble))
+    world, confirmed, known, survivors, led, starts = virtual_loop.run(gap(seed, trouble, pause))
     assert confirmed and not known  # another controller told the user, and the leader's copy did not have it
     assert world.checker.broken == []
     assert not world.checker.present[("wk-000000", 0)]
@@ -447,3 +456,65 @@
         assert all(key in alive and (alive is world.completed or alive[key]) for key in tasks), job
     for job in world.checker.told_cancelled:
         assert not on(world, job)
+
+
+# -- that the checks can fail ----------------------------------------------------------------------------
+
+
+def believes_that_it_knows(monkeypatch):
+    monkeypatch.setattr(Leadership, "knows_cancellations", lambda self, within_s: True)
+
+
+def takes_in_nothing(monkeypatch):
+    take = PeerKnowledge.take
+    monkeypatch.setattr(PeerKnowledge, "take", lambda self, *answer: [] if take(self, *answer) else [])
+
+
+def waits_for_a_crowd_with_cancelled_tasks(monkeypatch):
+    monkeypatch.setattr(Watch, "clear_cancelled", lambda self, now: None)
+
+
+def takes_whatever_comes(monkeypatch):
+    monkeypatch.setattr("passrock.controller.users.fault", lambda spec, teams, types: None)
+
+
+def forgets_to_place(monkeypatch):
+    run = Placer.run
+    monkeypatch.setattr(Placer, "run", lambda self, now: [] if now > 26.0 else run(self, now))
+
+
+def leaves_a_question_unanswered(monkeypatch):
+    query = Users._query
+
+    async def _query(self, job_id):
+        if job_id == "wk-000000" and steady() > 30.0:
+            raise Unavailable("as a test wants it")
+        return await query(self, job_id)
+
+    monkeypatch.setattr(Users, "_query", _query)
+
+
+@pytest.mark.parametrize("trouble", ["teller crashes and is back at once", "teller loses its peers", "all restart"])
+def test_checker_catches_renewals_without_knowledge(monkeypatch, trouble):
+    """What is told is not enough where the one that told is gone: the bound is needed as well."""
+    believes_that_it_knows(monkeypatch)
+    world = virtual_loop.run(gap(201, trouble, 0.0))[0]
+    assert "ran_cancelled" in {one for _, one, _ in world.checker.broken}
+
+
+@pytest.mark.parametrize(
+    ("unsafe", "scene", "rule"),
+    [
+        (takes_in_nothing, slow_state_then_refused_then_out, "ran_cancelled"),
+        (waits_for_a_crowd_with_cancelled_tasks, most_of_the_fleet_hangs, "ran_cancelled"),
+        (takes_whatever_comes, odd_requests, "accepted_impossible"),
+        (forgets_to_place, zone_bound_jobs_lose_machines, "left_waiting"),
+        (leaves_a_question_unanswered, hand_over_and_back, "forgotten"),
+    ],
+    ids=lambda value: getattr(value, "__name__", value),
+)
+def test_checker_catches(monkeypatch, unsafe, scene, rule):
+    """Each check that the scenes rest on fails on a controller that breaks it."""
+    unsafe(monkeypatch)
+    world, _ = virtual_loop.run(play(scene, 300, ("a", "b", "c")))
+    assert rule in {one for _, one, _ in world.checker.broken}
