--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,6 +1,7 @@
 """Two troubles at once, brought about for certain: each case first shows that they met, then that no rule broke."""
 
 import asyncio
+from dataclasses import replace
 
 import cbor2
 import pytest
@@ -9,6 +10,7 @@
 from passrock.controller.users import Unavailable, Users
 from passrock.controller.watch import Watch
 from passrock.core.cancellations import PeerKnowledge
+from passrock.core.model import NOTHING
 from passrock.core.placement import Placer
 from passrock.io.clock import steady
 from standins import virtual_loop
@@ -458,6 +460,48 @@
         assert not on(world, job)
 
 
+def test_a_look_up_by_single_reads_that_crosses_the_end_of_the_job():
+    """The record was read, then the cancellation was told and the job went: ``queued`` would be an older answer."""
+
+    async def main():
+        world, leader = await settled(310)
+        slow, third = others(world, leader)
+        users, read = world.nodes[slow].node.users, world.nodes[slow].node.state.get
+
+        async def no_fence():
+            return False
+
+        async def get(key, timeout=1.5):
+            answer = await read(key, timeout=timeout)
+            if key == "p/j/wk-000000":
+                assert answer[0] is not None and await world.withdraw("wk-000000", third)
+                while "p/f/wk-000000" not in world.state.data:
+                    await asyncio.sleep(0.1)
+            return answer
+
+        users.fence.passed, users.state.get = no_fence, get
+        asked = world.now()
+        status, answer = await world.ask("GET", "/v2/runs/wk-000000", timeout=30.0, node=slow)
+        told = world.checker.told["wk-000000"]
+        return status, answer["status"], told[1], asked < told[0]
+
+    assert virtual_loop.run(main()) == (200, "cancelled", "cancelled", True)
+
+
+def test_a_repeated_submission_is_never_refused_for_what_is_on_offer_now():
+    async def main():
+        world, _ = await settled(311)
+        answers = []
+        for sim in world.nodes.values():
+            sim.node.market.types = {"tiny": replace(sim.node.market.types["box"], size=NOTHING)}
+        for number in (0, 99):
+            spec = world.job(number, format="service", precedence="prod", loanS=0.0)
+            answers.append((await world.ask("POST", "/v2/runs", cbor2.dumps(spec), 5.0))[0])
+        return answers
+
+    assert virtual_loop.run(main()) == [200, 422]
+
+
 # -- that the checks can fail ----------------------------------------------------------------------------
 
 
