A leader's own confirmation enters its books at once

It told its peers, not its own books. Whoever learns of a cancellation, from whatever side, now tells the books by one way. test_gap_after_a_confirmation_by_the_leader_itself fails on the code before.

--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -55,11 +55,11 @@
         self.market = Market()
         self.replica = Replica(state)
         self.cancellations = Cancellations(settings.cancel_s * KEEP_CANCELLED)
+        self.cancellations.learned = self._cancelled
         self.replica.listeners.append(self._listen)
         self.leadership = Leadership(settings, state, self.replica, self.cancellations, rng)
         self.leadership.changed.append(self._role_changed)
         self.peers = Peers(links, self.leadership.view, self.leadership.heard, self.cancellations)
-        self.peers.learned = self._cancelled
         self.leadership.peers = self.peers
         limiter = Limiter(start=32, least=4, most=max(8, settings.fd_limit // 2), slack=settings.report_s / 10)
         self.users = Users(settings, state, self.replica, self.cancellations, self.market, limiter, rng)
@@ -100,8 +100,11 @@
             self.cancellations.learn(key[len(keys.CANCEL) :], steady())
 
     def _cancelled(self, job_id: str) -> None:
-        """A peer told of a cancellation that the copy of the state here may not show yet."""
-        debug("cancellation_heard", job=job_id)
+        """A cancellation is committed: by this node itself, as a peer says, or as the copy of the state shows.
+
+        The leader's books take it from here. Its copy may never show one that it committed itself, when the
+        service refuses it from that moment on.
+        """
         if self.term is not None:
             self.term.cancelled(job_id, steady())
 
--- a/src/passrock/core/cancellations.py
+++ b/src/passrock/core/cancellations.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from threading import Lock
 
 from passrock.core.fleet import DRIFT
@@ -34,6 +34,7 @@
 
     def __init__(self, keep_s: float) -> None:
         self.keep_s = keep_s
+        self.learned: Callable[[str], None] = lambda job_id: None  # told of each new entry, whoever brought it
         self.first = 0  # the number of the oldest entry that is kept
         self._order: deque[tuple[str, float]] = deque()
         self._known: dict[str, float] = {}
@@ -62,7 +63,8 @@
                 return False
             self._known[job_id] = now
             self._order.append((job_id, now))
-            return True
+        self.learned(job_id)
+        return True
 
     def piece(self, start: int, most: int) -> tuple[int, list[str]]:
         """Up to ``most`` entries from number ``start`` on, and the number of the first of them."""
--- a/src/passrock/io/peers.py
+++ b/src/passrock/io/peers.py
@@ -185,7 +185,6 @@
         self.own_view = own_view
         self.seen = seen
         self.cancellations = cancellations
-        self.learned: Callable[[str], None] = lambda job_id: None
         self.knowledge = [PeerKnowledge() for _ in links]
         for link, knowledge in zip(links, self.knowledge, strict=True):
             link.heard = partial(self._heard, knowledge)
@@ -213,8 +212,7 @@
             hello.run, hello.has_read, hello.whole_age, hello.first, hello.total, hello.cancelled, asked_at
         )
         for job_id in fresh:
-            if self.cancellations.learn(job_id, steady()):
-                self.learned(job_id)
+            self.cancellations.learn(job_id, steady())
         self.seen(hello)
 
     async def run(self, every: float) -> None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -109,6 +109,34 @@
         assert led and survivors and starts == 4  # nobody else's tasks paid for it
 
 
+def test_gap_after_a_confirmation_by_the_leader_itself():
+    """Refused from the moment of its own commit on, the leader's copy never shows it: its books must know."""
+
+    async def main():
+        world, leader = await settled(202)
+        sim, handle = world.nodes[leader], world.state.handle
+
+        async def refused_from_here_on(method, path, body):
+            if path == "/commit" and b"p/c/wk-000000" in body:
+                sim.refused = True
+            return await handle(method, path, body)
+
+        world.state.handle = refused_from_here_on
+        told = await world.withdraw("wk-000000", leader)
+        world.state.handle = handle
+        known = sim.node.replica.get("p/c/wk-000000") is not None
+        await world.outage(world.limits["cancel_s"] * 1.4)
+        sim.refused = False
+        led = sim.node.leadership.leading
+        await asyncio.sleep(20.0)
+        return world, told, known, led
+
+    world, told, known, led = virtual_loop.run(main())
+    assert told and not known and led
+    assert world.checker.broken == [] and not world.checker.present[("wk-000000", 0)]
+    assert world.checker.starts == 4
+
+
 # -- each meeting of the operators' list ----------------------------------------------------------------------------
 #
 # A scene plays on a world with work of every kind and returns whether the troubles did meet. Afterwards all is quiet
