Workers that lost their leader try the other followers until it is replaced

Each follower named the cut leader to the first workers that came, and nobody to the others, so that their own order led them back to it: an attempt there takes 4 s of a lease of 11 s. Followers went on so after the next one led, since what they had counted outlived the term, and named an old leader by a lagging copy of the state. Whether tasks were lost hung on which follower won the race. Ruled out: the race for the key, loading, the first renewal (0.1 to 0.2 s together in the simulation).

--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -5,19 +5,19 @@
 import asyncio
 import math
 import random
-from collections import deque
 from collections.abc import Callable
 
 from passrock.controller import keys
 from passrock.controller.replica import Replica
 from passrock.core.cancellations import Cancellations, renewal_horizon, whole_until
-from passrock.core.fleet import DRIFT
+from passrock.core.fleet import DRIFT, silence_limit
+from passrock.core.lost_workers import LostWorkers
 from passrock.io.clock import steady
 from passrock.io.peers import Hello, Peers
 from passrock.io.state import Committed, LeaseGone, StateClient, StateError, StateUnknown
 from passrock.logs import info
 from passrock.settings import Settings
-from passrock.wire.state import Put
+from passrock.wire.state import Entry, Put
 
 LAUNCH_PART = 2.0  # of the time that a leader's key lives: a watch over a quiet state answers about so often
 
@@ -55,8 +55,18 @@
         self._lease = 0
         self._rest_until = -1e9
         self._ending: asyncio.Task[None] | None = None
-        self._redirects: deque[float] = deque()
+        self.lost_workers = LostWorkers(
+            settings.report_s,
+            settings.lease_s,
+            silence_limit(settings.report_s, settings.lease_s, settings.operator.silent_ratio),
+        )
         self._support_s = max(1.0, settings.report_s)
+        replica.listeners.append(self._listen)
+
+    def _listen(self, key: str, entry: Entry | None) -> None:
+        """A term that the copy of the state shows counts at once, before any worker is sent to its old leader."""
+        if key == keys.TERM and entry is not None and isinstance(entry.value, int):
+            self.saw_term(entry.value)
 
     # -- what others may rely on ------------------------------------------------------------
 
@@ -142,10 +152,12 @@
             if leading:
                 return max(leading, key=lambda hello: hello.term).node
         entry = self.replica.get(keys.LEADER)
-        if entry is not None and isinstance(entry.value, dict) and not self.state.down(now, self.ttl):
-            node = entry.value.get("node")
-            return node if isinstance(node, str) else None
-        return None
+        if entry is None or not isinstance(entry.value, dict) or self.state.down(now, self.ttl):
+            return None
+        node, term = entry.value.get("node"), entry.value.get("term")
+        if not isinstance(node, str) or not isinstance(term, int) or term < self.known_term:
+            return None  # the copy lags: that leader has been replaced
+        return node
 
     def view(self) -> Hello:
         """What the peers are told."""
@@ -155,7 +167,7 @@
             leading=self.leading,
             state_down=self.state.down(steady(), self.ttl / 4),
             has_read=self.replica.loaded,
-            redirects=self.redirects_lately(),
+            redirects=self.lost_workers.count(self.known_term, steady()),
             run=self.run_id,
             whole_age=self._whole_age(),
         )
@@ -165,16 +177,28 @@
         until = self.cancellations_whole_until(now)
         return max(0.0, now - until) if math.isfinite(until) else None
 
-    def note_redirect(self, token: int) -> None:
-        """A worker came here; one that knows the present term has lost the leader."""
-        if token and token >= self.known_term and not self.leading:
-            self._redirects.append(steady())
+    def redirect(self, machine: str, token: int) -> str | None:
+        """Where a worker that this node can't serve should go; None when nobody can be named.
 
-    def redirects_lately(self) -> int:
-        """How many such workers came here in the last part of a lease."""
-        while self._redirects and steady() - self._redirects[0] > self.settings.lease_s / 4:
-            self._redirects.popleft()
-        return len(self._redirects)
+        One that knows the present term has lost its leader, or it would not have come. It goes to another
+        follower while the leader may be about to step down: every attempt at one that can't be reached costs
+        a large part of the worker's lease.
+        """
+        now = steady()
+        leader = self.leader()
+        lost = self.lost_workers
+        if token and not self.leading:
+            lost.note(machine, token, leader, self.known_term, now)
+        still_lost = leader is None or (leader == lost.leader and self.known_term <= lost.leader_term)
+        if still_lost and lost.keep_away(machine, now):
+            return lost.alternative(self._followers(now), self.settings.node)
+        return leader if leader != self.settings.node else None
+
+    def _followers(self, now: float) -> list[str]:
+        """The other controllers that answered lately and don't lead."""
+        if self.peers is None:
+            return []
+        return [hello.node for hello, _ in self.peers.answers(now - self._support_s) if not hello.leading]
 
     def workers_elsewhere(self) -> int:
         """How many workers came to other controllers lately instead of this one."""
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -34,7 +34,6 @@
 STATE_CONNECTIONS = 12
 LEADER_PART = 0.6
 KEEP_CANCELLED = 4.0  # times cancel_s: by then every task of a cancelled job is long gone
-FEW_LOST = 2  # workers that lose their leader one by one have troubles of their own
 
 
 class Node:
@@ -149,11 +148,7 @@
         if not self.leadership.may_renew():
             if self.leadership.may_renew_leaderless(report.token):
                 return Response(200, worker_wire.answer(report.token, self._stops(report)))
-            self.leadership.note_redirect(report.token)
-            leader = self.leadership.leader()
-            if leader == self.settings.node or self.leadership.redirects_lately() > FEW_LOST:
-                leader = None  # several have just lost that leader: sent back, each would wait there in vain
-            return Response(421, worker_wire.redirect(leader))
+            return Response(421, worker_wire.redirect(self.leadership.redirect(report.machine, report.token)))
         if self.term is None or not self.term.ready:
             return Response(200, worker_wire.answer(self.leadership.term, self._stops(report)))
         commands = self.term.checkin(report)
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -17,6 +17,8 @@
 UNHEEDED_MOST = 2
 # Reports come at up to 1.25 times their interval, and an answer may wait for another quarter; beyond that one lacks.
 OVERDUE = 1.75
+# So many report intervals at the least have to pass without one before a worker counts as silent.
+SILENT_REPORTS = 2.5
 # A worker waits so long for an answer before it tries another node.
 WORKER_WAIT_S = 4.0
 # Names of deleted machines that are remembered: many times what a list could still show.
@@ -164,6 +166,11 @@
         return others * min(spec.image_gb, max(self.fetching.values())) / self.type.fetch_rate
 
 
+def silence_limit(report_s: float, lease_s: float, silent_ratio: float) -> float:
+    """Seconds without a report after which a worker counts as silent."""
+    return max(lease_s * silent_ratio, report_s * SILENT_REPORTS)
+
+
 class Fleet:
     """All machines of one leader's term."""
 
@@ -171,7 +178,7 @@
         self.report_s = report_s
         self.lease_s = lease_s
         self.term = term
-        self.silent_s = max(lease_s * silent_ratio, report_s * 2.5)
+        self.silent_s = silence_limit(report_s, lease_s, silent_ratio)
         self.began = began
         self.wait_s = 0.0  # how long workers may still wait for an answer of another leader
         self.machines: dict[str, Machine] = {}
@@ -293,7 +300,7 @@
             and machine.hears
             and machine.notice_until is None
             and machine.blocked_until <= now
-            and now - machine.heard <= self.report_s * 2.5
+            and now - machine.heard <= self.report_s * SILENT_REPORTS
         )
 
     def lease_over(self, machine: Machine, now: float, fenced_at: float | None) -> bool:
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -326,6 +326,8 @@
                 raise ConnectionError("no connection opens")
             if any(kind == "workers" and cut == name and end > self.now() for kind, cut, end in self.cuts):
                 await asyncio.Event().wait()  # this node is cut off from all workers
+            if self.is_cut("link", (worker.name, name)):
+                await asyncio.Event().wait()  # this worker alone can't reach this node
             until = self.cut_until(worker)
             if until > self.now():  # held back, and delivered after the worker has given it up
                 asyncio.get_running_loop().call_at(until + self.rng.uniform(0, 1), self._late_report, name, body)
