Questions share one paced read; submissions and cancellations have their own limit

Now whoever asks before the next read is sent joins it, it is sent when the rate leaves a part for commits, and submissions and cancellations have a limit apart.

--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -13,7 +13,6 @@
 from passrock.controller.replica import Replica
 from passrock.controller.term import Term
 from passrock.controller.users import Users
-from passrock.core.admission import Limiter
 from passrock.core.budget import Budget
 from passrock.core.cancellations import Cancellations
 from passrock.core.fleet import Command, Op, Report, TaskState
@@ -60,8 +59,7 @@
         self.leadership.changed.append(self._role_changed)
         self.peers = Peers(links, self.leadership.view, self.leadership.heard, self.cancellations)
         self.leadership.peers = self.peers
-        limiter = Limiter(start=32, least=4, most=max(8, settings.fd_limit // 2), slack=settings.report_s / 10)
-        self.users = Users(settings, state, self.replica, self.cancellations, self.market, limiter, rng)
+        self.users = Users(settings, state, self.replica, self.cancellations, self.market)
         self.term: Term | None = None
         self._share_rates(False)
 
--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -18,6 +18,8 @@
 FINALS_KEPT = 20_000
 WATCH_GAP = 3.0  # between two watches, as a number of requests at this node's rate
 RETRY_S = 0.3
+COMMIT_SHARE = 0.2  # of a second's requests, left for commits when users' questions are read for
+READ_WAIT_S = 0.4  # a read waits no longer for that: a user waits 2 s for an answer
 LOADED = (
     keys.JOB,
     keys.CHUNK,
@@ -163,8 +165,17 @@
             self._next = asyncio.ensure_future(self._read())
         return await asyncio.shield(self._next)
 
+    def _wait_for_budget(self) -> float:
+        """Seconds until a read is within the rate and commits find a part of it left.
+
+        Reads that waited for their turn one by one grew into a queue of seconds, also for submissions. Until
+        this one is sent everybody joins it, so that there is never more than one.
+        """
+        requests = self.state.requests
+        return min(READ_WAIT_S, requests.wait(steady(), reserve=requests.burst * COMMIT_SHARE))
+
     async def _read(self) -> bool:
-        await asyncio.sleep(self.gap)
+        await asyncio.sleep(max(self.gap, self._wait_for_budget()))
         self._next = None  # whoever asks from here on needs a later read
         started = steady()
         try:
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Awaitable
 from dataclasses import dataclass
 
 from passrock.controller import keys
-from passrock.controller.replica import ReadFence, Replica
+from passrock.controller.replica import READ_WAIT_S, ReadFence, Replica
 from passrock.core.admission import Limiter, fault
 from passrock.core.cancellations import Cancellations
 from passrock.core.jobs import CANCELLED, DONE, chunk_tasks, fits_record, new_record
@@ -25,6 +24,8 @@
 
 SUBMIT_PATIENCE_S = 3.5
 READ_TRIES = 3
+FIRST_IN_PROGRESS = 32  # requests, before any time has been measured
+LEAST_IN_PROGRESS = 4
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,6 +37,16 @@
     running: int = 0
 
 
+def _limiter(settings: Settings, slack: float) -> Limiter:
+    most = max(LEAST_IN_PROGRESS * 2, settings.fd_limit // 2)
+    return Limiter(FIRST_IN_PROGRESS, LEAST_IN_PROGRESS, most, slack)
+
+
+def _refuse(limiter: Limiter, status: int) -> Response:
+    """An answer at once, with a time to come back."""
+    return Response(status, wire.error_answer("busy, come back later"), retry_after=limiter.retry_after())
+
+
 class Unavailable(Exception):
     """The answer can't be given now."""
 
@@ -116,16 +127,17 @@
         replica: Replica,
         cancellations: Cancellations,
         market: Market,
-        limiter: Limiter,
-        rng: random.Random,
     ) -> None:
         self.settings = settings
         self.state = state
         self.replica = replica
         self.cancellations = cancellations  # a job stands there before its user is told
         self.market = market
-        self.limiter = limiter
-        self.rng = rng
+        slack = settings.report_s / 10
+        self.questions = _limiter(settings, slack + READ_WAIT_S)  # the wait for a shared read is no sign of a queue
+        self.changes = _limiter(
+            settings, slack
+        )  # submissions and cancellations, which no number of questions may hold up
         self.fence = ReadFence(state, replica, 1.0 / settings.state_rps)
         self.chunk_size = chunk_tasks(settings.value_bytes)
         self.submitter = Submitter(state, settings.txn_ops)
@@ -142,24 +154,24 @@
             if request.method != "POST":
                 return Response(405, allow="POST")
             job_id = rest[: -len(wire.WITHDRAW_END)]
-            return self._limited(self._withdraw(job_id)) if wire.is_job_id(job_id) else self._unknown()
+            return self._limited(self.changes, self._withdraw(job_id)) if wire.is_job_id(job_id) else self._unknown()
         if not rest or "/" in rest:
             return Response(404, wire.error_answer("no such path"))
         if request.method != "GET":
             return Response(405, allow="GET")
-        return self._limited(self._query(rest)) if wire.is_job_id(rest) else self._unknown()
+        return self._limited(self.questions, self._query(rest)) if wire.is_job_id(rest) else self._unknown()
 
     @staticmethod
     def _unknown() -> Response:
         return Response(404, wire.error_answer("no such job"))
 
-    def _limited(self, work: Awaitable[Response]) -> Response | Awaitable[Response]:
-        if not self.limiter.enter():
+    def _limited(self, limiter: Limiter, work: Awaitable[Response]) -> Response | Awaitable[Response]:
+        if not limiter.enter():
             work.close()  # type: ignore[attr-defined]
-            return self._refuse(429)
-        return self._measured(work)
+            return _refuse(limiter, 429)
+        return self._measured(limiter, work)
 
-    async def _measured(self, work: Awaitable[Response]) -> Response:
+    async def _measured(self, limiter: Limiter, work: Awaitable[Response]) -> Response:
         started = steady()
         failed = True
         try:
@@ -168,13 +180,9 @@
             return response
         except (StateError, Unavailable) as problem:
             debug("user_unserved", problem=problem)
-            return self._refuse(503)
+            return _refuse(limiter, 503)
         finally:
-            self.limiter.leave(steady() - started, failed)
-
-    def _refuse(self, status: int) -> Response:
-        wait = self.limiter.retry_after()
-        return Response(status, wire.error_answer("busy, come back later"), retry_after=wait)
+            limiter.leave(steady() - started, failed)
 
     # -- what is known ------------------------------------------------------------------------
 
@@ -238,13 +246,13 @@
             return Response(400, wire.error_answer("the names in it are too long"))
         types = self.market.types
         if not types or not self.replica.loaded:
-            return self._refuse(503)
+            return _refuse(self.changes, 503)
         problem_text = fault(spec, self.settings.teams, types)
         if problem_text is not None and not self._known_job(spec.id):
             return Response(422, wire.error_answer(problem_text))
         if self.state.writes.wait(steady()) > 1.0:
-            return self._refuse(429)
-        return self._limited(self._submit(spec))
+            return _refuse(self.changes, 429)
+        return self._limited(self.changes, self._submit(spec))
 
     def _known_job(self, job_id: str) -> bool:
         """Whether the job was accepted once: then its state is the answer, though the types on offer have changed."""
@@ -260,9 +268,9 @@
                     pass  # it may have been accepted: read before answering
                 known = await self._look_up(spec.id)
         except TimeoutError:
-            return self._refuse(503)
+            return _refuse(self.changes, 503)
         if known is None:
-            return self._refuse(503)
+            return _refuse(self.changes, 503)
         return Response(200, wire.brief_answer(spec.id, known.status))
 
     async def _query(self, job_id: str) -> Response:
--- a/src/passrock/core/budget.py
+++ b/src/passrock/core/budget.py
@@ -22,11 +22,11 @@
             self._level -= amount
             return max(0.0, -self._level / self.rate)
 
-    def wait(self, now: float) -> float:
-        """The seconds that a taker of one would wait now."""
+    def wait(self, now: float, reserve: float = 0.0) -> float:
+        """The seconds until one can be taken and ``reserve`` are left for others."""
         with self._lock:
             self._fill(now)
-            return max(0.0, (1.0 - self._level) / self.rate)
+            return max(0.0, (1.0 + reserve - self._level) / self.rate)
 
     def spare(self, now: float) -> float:
         """How much of a full burst is left, from 0 (or below) to 1."""
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -170,8 +170,8 @@
         world = World(10)
         await asyncio.sleep(5.0)
         node = world.nodes["n0"].node
-        limiter = node.users.limiter
-        limiter.busy = int(limiter.limit)
+        for limiter in (node.users.questions, node.users.changes):
+            limiter.busy = int(limiter.limit)
         good = world.job(1)
         cases = [
             ("POST", "/v2/runs", b"junk"),
--- /dev/null
+++ b/tests/test_user_latency.py
@@ -0,0 +1,80 @@
+"""What users wait for comes first: submissions and cancellations neither queue behind questions nor behind
+the leader's own writes."""
+
+import asyncio
+
+import cbor2
+import pytest
+
+from passrock.io.http_server import Request, Response
+from standins import virtual_loop
+from standins.world import World
+
+PROMPT_S = 0.15  # of virtual time: one commit, and the wait for a few changes at the service's rate
+
+FEW_REQUESTS = 12.0  # to the state service a second, as a follower at a small service has
+
+
+async def submit(world, node, number):
+    """Submit a job to one controller; the status and how long the answer took."""
+    began = world.now()
+    spec = world.job(number)
+    world.specs[spec["ref"]], world.run_times[spec["ref"]] = spec, 5.0
+    status, _ = await world.ask("POST", "/v2/runs", cbor2.dumps(spec), 5.0, node=node)
+    return status, world.now() - began
+
+
+async def ask_without_end(world, node, job, answers):
+    """A user who asks after a job ten times a second."""
+    while True:
+        status, _ = await world.ask("GET", f"/v2/runs/{job}", node=node)
+        answers.append(status)
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("leading", [False, True])
+def test_submissions_do_not_queue_behind_questions(leading):
+    """Each question's read of the state once took its turn at the node's rate, and commits waited behind them."""
+
+    async def main():
+        world = World(400)
+        leader = await world.a_leader()
+        node = leader if leading else next(name for name in world.nodes if name != leader)
+        await submit(world, node, 1)
+        requests = world.nodes[node].node.state.requests
+        requests.rate = requests.burst = FEW_REQUESTS
+        answers = []
+        for _ in range(80):
+            await asyncio.sleep(0.013)
+            world.spawn(ask_without_end(world, node, "wk-000001", answers))
+        await asyncio.sleep(1.0)
+        took = []
+        for number in range(2, 12):
+            took.append(await submit(world, node, number))
+            await asyncio.sleep(0.7)
+        return took, answers
+
+    took, answers = virtual_loop.run(main())
+    assert [status for status, _ in took] == [201] * 10
+    assert max(seconds for _, seconds in took) < PROMPT_S
+    assert answers.count(200) > len(answers) / 2  # and most questions are answered
+
+
+def test_a_full_limit_on_questions_refuses_no_submission():
+    async def main():
+        world = World(401)
+        await world.a_leader()
+        users = world.nodes["n0"].node.users
+        users.questions.busy = int(users.questions.limit)
+        answers = []
+        for request in (
+            Request("GET", "/v2/runs/wk-000001", b""),
+            Request("POST", "/v2/runs", cbor2.dumps(world.job(1))),
+        ):
+            answer = users.handle(request)
+            answers.append(answer if isinstance(answer, Response) else await answer)
+        return answers
+
+    question, submission = virtual_loop.run(main())
+    assert (question.status, submission.status) == (429, 201)
+    assert question.retry_after is not None
