--- a/src/passrock/controller/pump.py
+++ b/src/passrock/controller/pump.py
@@ -14,6 +14,10 @@
 from passrock.wire.state import Delete, Put, Write
 
 RETRY_S = 0.2
+SHORTEST_SLEEP_S = 0.001  # a rounding error left over must not make a busy loop
+FINAL_WRITES = 3  # changes that end a job: its record and its cancellation go, its final record comes
+SUBMISSION_SHARE = 0.2  # of a second's changes, left for submissions and cancellations on this node,
+SUBMISSIONS_LEAST = 2.0  # and so many at the least
 
 
 class Batch:
@@ -48,23 +52,40 @@
             await self.wake.wait()
             self.wake.clear()
             while self.book.dirty or self.book.finishing or self.orphans:
-                batch = self.build()
+                batch = self.build(await self._writes_left())
                 if not batch.writes:
                     break
                 if not await self.commit(batch):
                     await asyncio.sleep(RETRY_S)
 
-    def build(self) -> Batch:
-        """The next transaction, inside the limits on changes and size."""
+    async def _writes_left(self) -> int:
+        """How many changes the next transaction may make, so that submissions find a part of the rate left.
+
+        A transaction of full size spent the rate for a second ahead, and what users sent meanwhile waited as
+        long. After a second without enough left, it takes its turn behind them.
+        """
+        budget = self.state.writes
+        least = FINAL_WRITES if self.book.finishing else 1
+        reserve = min(max(SUBMISSIONS_LEAST, budget.burst * SUBMISSION_SHARE), budget.burst / 2)
+        turn = steady() + budget.burst / budget.rate
+        while (left := budget.left(steady()) - reserve) < least:
+            now = steady()
+            if now >= turn:
+                return self.txn_ops
+            await asyncio.sleep(max(SHORTEST_SLEEP_S, min((least - left) / budget.rate, turn - now)))
+        return min(self.txn_ops, int(left))
+
+    def build(self, most: int) -> Batch:
+        """The next transaction of up to ``most`` changes, inside the limit on its size."""
         batch = Batch(self.leader_stamp)
         size_left = 40_000
         for job_id in list(self.book.finishing):
-            if len(batch.writes) + 3 > self.txn_ops:
+            if len(batch.writes) + FINAL_WRITES > most:
                 break
             self._finish(batch, self.book.jobs[job_id])
         finishing = {job.spec.id for job, _ in batch.finals}
         for job_id, number in list(self.book.dirty):
-            if len(batch.writes) + 1 > self.txn_ops or size_left < 0:
+            if len(batch.writes) + 1 > most or size_left < 0:
                 break
             if job_id in finishing:
                 continue
@@ -78,7 +99,7 @@
             batch.conditions[key] = chunk.stamp
             batch.writes.append(Put(key, value))
             batch.chunks.append((job, number, chunk, chunk.version))
-        while self.orphans and len(batch.writes) < self.txn_ops and not batch.finals:
+        while self.orphans and len(batch.writes) < most and not batch.finals:
             key = self.orphans.pop()
             batch.writes.append(Delete(key))
             batch.orphans.append(key)
--- a/src/passrock/core/budget.py
+++ b/src/passrock/core/budget.py
@@ -28,6 +28,12 @@
             self._fill(now)
             return max(0.0, (1.0 + reserve - self._level) / self.rate)
 
+    def left(self, now: float) -> float:
+        """How many can be taken without waiting; below 0 when others wait already."""
+        with self._lock:
+            self._fill(now)
+            return self._level
+
     def spare(self, now: float) -> float:
         """How much of a full burst is left, from 0 (or below) to 1."""
         with self._lock:
--- a/tests/test_user_latency.py
+++ b/tests/test_user_latency.py
@@ -78,3 +78,29 @@
     question, submission = virtual_loop.run(main())
     assert (question.status, submission.status) == (429, 201)
     assert question.retry_after is not None
+
+
+def test_submissions_do_not_queue_behind_the_writes_of_many_ends():
+    """The leader once spent its rate of changes for a second ahead on each large transaction of its own."""
+
+    async def main():
+        world = World(402, machines=30, capacity=(30, 3), guarantee=50.0, limit=100.0)
+        leader = await world.a_leader()
+        body = {"cores": 0.5, "cards": 0.0, "ramGb": 0.5, "edition": "img-0"}
+        for number in range(100, 400):
+            spec = world.job(number, **body)
+            world.spawn(world.user(spec, run_s=3.0 + number % 7))
+        await asyncio.sleep(12.0)
+        took = []
+        for number in range(1, 13):
+            took.append(await submit(world, leader, number))
+            await asyncio.sleep(0.5)
+        backlog = len(world.nodes[leader].node.term.book.jobs)
+        await asyncio.sleep(60.0)
+        return took, backlog, world
+
+    took, backlog, world = virtual_loop.run(main())
+    assert backlog > 50  # the leader's writes were behind all the while
+    assert [status for status, _ in took] == [201] * 12
+    assert max(seconds for _, seconds in took) < PROMPT_S
+    assert world.done_users == 300 and world.checker.broken == []  # whose writes were held up, but not for ever
