Elastic work is revoked at once for guaranteed gangs

Now low-priority work of a team without a guarantee gives way at once to a guaranteed gang if that lets the whole gang start, with time to save; and no machine is rented for a gang whose room is being made. Arrays and replicas as before.

--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -341,10 +341,10 @@
 
     def _preempt(self, queue: list[Job], now: float) -> None:
         for job in queue:
-            soon = now - job.order < self.settings.report_s and job.spec.priority is not Priority.PRODUCTION
-            if soon or not self.placer.displaces(job):
+            if not self.placer.displaces(job):
                 continue
-            for live in self.placer.make_room(job, now):
+            early = now - job.order < self.settings.report_s and job.spec.priority is not Priority.PRODUCTION
+            for live in self.placer.make_room(job, now, early):
                 info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
                 stop_softly(live, self.settings.gang_peer_s)
                 if self.book.unsent(live):  # nothing of it is on its way: the room is free at once
@@ -355,7 +355,8 @@
                     self.book.recount(machine, now)
 
     def _rent(self, queue: list[Job], now: float) -> None:
-        wanted = plan_rentals(queue, self.book, self.fleet, self.settings.teams, self.market, self.placer.aims, now)
+        lacking = [job for job in queue if job.spec.kind is not Kind.GANG or not self.placer.stopping_for(job)]
+        wanted = plan_rentals(lacking, self.book, self.fleet, self.settings.teams, self.market, self.placer.aims, now)
         production, room = self._zone_rooms()
         gap = zone_gap(production, room, self.settings.zones)
         if gap > 0:
--- a/src/passrock/core/model.py
+++ b/src/passrock/core/model.py
@@ -79,6 +79,11 @@
     gpus: float
     gpus_max: float
 
+    @property
+    def has_guarantee(self) -> bool:
+        """Whether any capacity is promised to the team."""
+        return self.cpus > 0 or self.gpus > 0
+
     def within_limit(self, used: Amount) -> bool:
         """Whether ``used`` stays inside the team's limit."""
         return not (
@@ -88,7 +93,7 @@
 
     def within_guarantee(self, used: Amount) -> bool:
         """Whether ``used`` stays inside what the team is guaranteed."""
-        if self.cpus <= 0 and self.gpus <= 0:
+        if not self.has_guarantee:
             return False
         return not (
             (self.cpus > 0 and used.cpus > self.cpus + EPSILON) or (self.gpus > 0 and used.gpus > self.gpus + EPSILON)
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -406,13 +406,42 @@
         other = victim.job
         if other is job or other.cancelled or self.rank(job) <= self.rank(other):
             return False
-        if job.spec.priority is not Priority.PRODUCTION and not self.settled(victim, now):
+        at_once = job.spec.priority is Priority.PRODUCTION or self.revocable(victim, job)
+        if not at_once and not self.settled(victim, now):
             return False
         if other.spec.priority < job.spec.priority:
             return True
         beyond = job.spec.id in self.guaranteed and other.spec.id not in self.guaranteed
         return beyond and other.spec.team != job.spec.team
 
+    def is_elastic(self, job: Job) -> bool:
+        """Whether a job uses what others leave: low-priority work of a team without a guarantee (RAS §3.4)."""
+        team = self.teams.get(job.spec.team)
+        return team is not None and not team.has_guarantee and job.spec.priority is Priority.LOW
+
+    def revocable(self, victim: Live, job: Job) -> bool:
+        """Whether a task gives way to a guaranteed job as soon as that needs the room."""
+        return job.spec.id in self.guaranteed and self.is_elastic(victim.job)
+
+    def has_elastic_work(self) -> bool:
+        """Whether any team without a guarantee uses machines at the moment."""
+        return any(
+            not team.has_guarantee and self.book.usage.get(team.name, NOTHING) != NOTHING
+            for team in self.teams.values()
+        )
+
+    def revoke(self, job: Job, now: float) -> list[Live]:
+        """Elastic tasks whose end lets a guaranteed gang start; empty when they are not enough.
+
+        What was lent for idle time is revoked at once. It used to be displaced as late as other work, when
+        waiting longer would have missed an aim, and not at all in its first seconds: gangs waited for a
+        minute beside machines full of it.
+        """
+        if job.spec.kind is not Kind.GANG or job.spec.id not in self.guaranteed or not self.has_elastic_work():
+            return []
+        plan = self.plan_room(job, now, math.inf, elastic_only=True)
+        return self.displace(job, plan, now) if any(stopped for _, stopped in plan) else []
+
     def loss(self, victim: Live, now: float) -> float:
         """Seconds of work lost when this task is stopped, over its whole gang."""
         spec = victim.job.spec
@@ -427,17 +456,21 @@
         """Whether the job's class of standing displaces others at all."""
         return job.spec.priority >= Priority.HIGH or job.spec.id in self.guaranteed
 
-    def make_room(self, job: Job, now: float) -> list[Live]:
+    def make_room(self, job: Job, now: float, early: bool = False) -> list[Live]:
         """Choose victims so that the job's waiting tasks fit; returns the attempts to stop.
 
-        Production takes room at once. Other work is displaced only when that lets the job meet an
-        aim that waiting would miss: under overload, displacing early and for aims that were lost
-        already made most machines fetch images instead of running tasks.
+        While it is ``early`` for the job, only elastic work is displaced for it. Production takes room at
+        once. Other work is displaced only when that lets the job meet an aim that waiting would miss: under
+        overload, displacing early and for aims that were lost already made most machines fetch images
+        instead of running tasks.
         """
         spec = job.spec
         overdue = self.aims.overdue(job, now)
         if self.stopping_for(job):
             return []  # earlier victims are still on their way out
+        revoked = self.revoke(job, now)
+        if revoked or early:
+            return revoked
         if not overdue and spec.priority is not Priority.PRODUCTION:
             left = self.aims.due(job, now, spec.id in self.guaranteed) - now
             if left < 0 or left > self.fleet.lease_s + 4 * self.patience + 2 * self.longest_fetch(job):
@@ -484,7 +517,9 @@
                 victims.update({mate.key: mate for mate in mates})
         return list(victims.values())
 
-    def plan_room(self, job: Job, now: float, most_fetch: float) -> list[tuple[Machine, list[Live]]]:
+    def plan_room(
+        self, job: Job, now: float, most_fetch: float, elastic_only: bool = False
+    ) -> list[tuple[Machine, list[Live]]]:
         """Machines for the job's waiting tasks, with the victims on each; empty when there are none."""
         spec = job.spec
         wanted = spec.tasks if spec.kind is Kind.GANG else len(job.next_waiting(ARRAY_BATCH))
@@ -496,14 +531,21 @@
         if spec.one_zone:
             zones = [self.fixed_zone(job, counts)] if counts else self.gang_zones(job)
         for zone in zones if wanted else ():
-            plan = self.cheapest(job, zone, dict(counts), wanted, now, most_fetch)
+            plan = self.cheapest(job, zone, dict(counts), wanted, now, most_fetch, elastic_only)
             whole = spec.kind is not Kind.GANG or len(plan[1]) == wanted
             if plan[1] and whole and (best is None or plan[0] < best[0]):
                 best = plan
         return best[1] if best is not None else []
 
     def cheapest(
-        self, job: Job, zone: str | None, counts: dict[str, int], wanted: int, now: float, most_fetch: float
+        self,
+        job: Job,
+        zone: str | None,
+        counts: dict[str, int],
+        wanted: int,
+        now: float,
+        most_fetch: float,
+        elastic_only: bool,
     ) -> tuple[float, list[tuple[Machine, list[Live]]]]:
         """Machines with the victims on each, for as many of ``wanted`` tasks as can be had."""
         spec = job.spec
@@ -515,7 +557,7 @@
                 continue
             if machine.fetch_wait(spec) > most_fetch:
                 continue
-            found = self.victims(job, machine, now)
+            found = self.victims(job, machine, now, elastic_only)
             if found is not None:
                 options.append((found[0] + machine.fetch_wait(spec), machine.name, machine, found[1]))
         options.sort(key=lambda option: option[:2])
@@ -532,7 +574,7 @@
             chosen.append((machine, stopped))
         return total, chosen
 
-    def victims(self, job: Job, machine: Machine, now: float) -> tuple[float, list[Live]] | None:
+    def victims(self, job: Job, machine: Machine, now: float, elastic_only: bool) -> tuple[float, list[Live]] | None:
         """The cheapest attempts on a machine whose end lets one task of the job fit."""
         need = job.spec.need
         room = self.rooms.of(machine)
@@ -543,7 +585,13 @@
             if live.stop is not None:  # on its way out already
                 room = room + live.job.spec.need
         choice = sorted(
-            (live for live in lives if live.stop is None and self.may_stop(live, job, now)),
+            (
+                live
+                for live in lives
+                if live.stop is None
+                and (not elastic_only or self.is_elastic(live.job))
+                and self.may_stop(live, job, now)
+            ),
             key=lambda live: (self.rank(live.job), self.loss(live, now), live.key),
         )
         total = 0.0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -484,3 +484,41 @@
         stop_softly(live, 6.0)
     assert [live.stop for live in gang.lives()] == [6.0, 6.0]
     assert desk.placer.make_room(replica, 2.0) == []  # one set of victims at a time
+
+
+ELASTIC = [
+    ("low-priority work without a guarantee", "guest", Priority.LOW, Kind.GANG, 1, True),
+    ("a guarantee stands behind it", "t1", Priority.LOW, Kind.GANG, 1, False),
+    ("it is more than idle-time work", "guest", Priority.NORMAL, Kind.GANG, 1, False),
+    ("the job is beyond its own guarantee", "guest", Priority.LOW, Kind.GANG, 3, False),
+    ("an array starts task by task anyway", "guest", Priority.LOW, Kind.ARRAY, 1, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("name", "team", "priority", "kind", "tasks", "revoked"), ELASTIC, ids=[c[0] for c in ELASTIC]
+)
+def test_elastic_work_is_revoked_at_once(name, team, priority, kind, tasks, revoked):
+    """Guaranteed gangs waited for a minute beside machines full of work of a team without a guarantee."""
+    desk = Desk([(f"m{n}", "a", False) for n in range(tasks)])
+    desk.placer.teams = {**TEAMS, "guest": Team("guest", 0, 0, 0, 8)}
+    desk.job(1, team=team, priority=priority, tasks=4 * tasks, need=Amount(4, 0, 10), checkpoint=30.0, save=3.0)
+    desk.run()
+    gang = desk.job(
+        2, at=1.0, kind=kind, tasks=tasks, need=Amount(14, 2, 50), priority=Priority.HIGH, job_class="late"
+    )
+    assert desk.run(1.0) == []
+    victims = desk.placer.make_room(gang, 1.0, early=True)
+    assert (len(victims) == 4 * tasks) is revoked and bool(victims) is revoked
+    assert desk.placer.stopping_for(gang) is False  # until they are told
+
+
+def test_elastic_work_is_left_alone_when_its_room_is_not_enough():
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    desk.placer.teams = {**TEAMS, "guest": Team("guest", 0, 0, 0, 8)}
+    desk.job(1, team="t1", priority=Priority.HIGH, tasks=1, need=Amount(16, 2, 60))
+    desk.run()
+    desk.job(2, team="guest", priority=Priority.LOW, tasks=4, need=Amount(4, 0, 10))
+    desk.run()
+    gang = desk.job(3, at=1.0, kind=Kind.GANG, tasks=2, need=Amount(14, 2, 50), priority=Priority.HIGH)
+    assert desk.run(1.0) == [] and desk.placer.make_room(gang, 1.0) == []
