A faulty job is told from a faulty machine by other jobs

Now only failures of jobs that have not failed on several machines count against a machine, and a job that has blocks none any more; it backs off as before. test_a_faulty_job_is_told_from_a_faulty_machine fails on the code before.

--- a/src/passrock/controller/watch.py
+++ b/src/passrock/controller/watch.py
@@ -55,8 +55,9 @@
                     info("lease_over", machine=machine.name, tasks=lost)
             if machine.notice_until is not None and machine.name not in self.book.held and not machine.strays:
                 self.rentals.delete(machine)
-            if len(machine.failed_jobs) > 1:
-                info("machine_faulty", machine=machine.name, jobs=len(machine.failed_jobs))
+            failures = self.book.failures_against(machine) if machine.failed_jobs else 0
+            if failures > 1:
+                info("machine_faulty", machine=machine.name, jobs=failures)
                 self.drain(machine.name)
                 if machine.name not in self.book.held:
                     self.rentals.delete(machine)
--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -158,9 +158,13 @@
         return not started and len(mates) == live.job.spec.tasks
 
     def _failed(self, job: Job, machine: Machine, now: float) -> None:
-        """A task failed: mostly the machine is at fault, but a job may fail wherever it is started."""
+        """A task failed: mostly the machine is at fault, but a job may fail wherever it is started.
+
+        A suspect job costs no machine its place: one faulty array once blocked every machine that it tried.
+        """
+        if not job.is_suspect:
+            machine.blocked_until = max(machine.blocked_until, now + self.fleet.lease_s)
         machine.failed_jobs[job.spec.id] = now
-        machine.blocked_until = max(machine.blocked_until, now + self.fleet.lease_s)
         job.avoid.add(machine.name)
         job.errors += 1
         if len(job.avoid) > 1:
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -159,6 +159,11 @@
         chunk = self.chunks.get(index // self.chunk_size)
         return chunk is not None and bool(chunk.done >> (index - chunk.first) & 1)
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the job itself seems faulty: it failed on several machines, and none of its tasks has completed."""
+        return len(self.avoid) > 1 and self.done_count == 0
+
     def lives(self) -> Iterator[Live]:
         """All attempts that are or may be on machines."""
         for chunk in self.chunks.values():
@@ -408,6 +413,11 @@
             self.gone(live, now)
         return len(lives)
 
+    def failures_against(self, machine: Machine) -> int:
+        """How many unfinished jobs have failed on a machine and don't seem faulty themselves."""
+        failed = [self.jobs[job_id] for job_id in machine.failed_jobs if job_id in self.jobs]
+        return sum(not job.is_suspect for job in failed)
+
     def machine_gone(self, name: str, now: float) -> int:
         """Nothing is left on the machine; how many attempts went with it."""
         lives = list(self.held.get(name, {}).values())
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -522,3 +522,35 @@
     desk.run()
     gang = desk.job(3, at=1.0, kind=Kind.GANG, tasks=2, need=Amount(14, 2, 50), priority=Priority.HIGH)
     assert desk.run(1.0) == [] and desk.placer.make_room(gang, 1.0) == []
+<<<<<<< Updated upstream
+=======
+
+
+def fail_on(desk, checkins, job, machine, now):
+    """One of the job's tasks is started on a machine and fails there."""
+    live = desk.book.start(job, 0, desk.fleet.machines[machine], job.attempt_for(0), now)
+    live.sent_seq = 0
+    state = desk.fleet.machines[machine]
+    failed = row(job.spec.id, 0, live.attempt, TaskState.EXITED, "error")
+    handle(desk, checkins, now, machine=machine, seq=state.seq + 1, tasks=[failed])
+
+
+def test_a_faulty_job_is_told_from_a_faulty_machine():
+    """Machines on which two jobs had failed were replaced, also where both jobs fail wherever they start."""
+    desk = Desk([("m1", "a", False), ("m2", "a", False), ("m3", "a", False)])
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    first, second, sound, other = (desk.job(number) for number in (1, 2, 3, 4))
+    for now, machine in enumerate(("m1", "m2")):
+        fail_on(desk, checkins, first, machine, float(now))
+    assert first.is_suspect and first.not_before > 1.0  # it is tried again, later
+    blocked = desk.fleet.machines["m3"].blocked_until
+    fail_on(desk, checkins, first, "m3", 2.0)
+    assert desk.fleet.machines["m3"].blocked_until == blocked  # and blocks nothing any more
+    for now, machine in enumerate(("m2", "m1"), start=3):
+        fail_on(desk, checkins, second, machine, float(now))
+    m1 = desk.fleet.machines["m1"]
+    assert len(m1.failed_jobs) == 2 and desk.book.failures_against(m1) == 0
+    fail_on(desk, checkins, sound, "m1", 5.0)
+    fail_on(desk, checkins, other, "m1", 6.0)
+    assert desk.book.failures_against(m1) == 2
+>>>>>>> Stashed changes
