--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -522,8 +522,6 @@
     desk.run()
     gang = desk.job(3, at=1.0, kind=Kind.GANG, tasks=2, need=Amount(14, 2, 50), priority=Priority.HIGH)
     assert desk.run(1.0) == [] and desk.placer.make_room(gang, 1.0) == []
-<<<<<<< Updated upstream
-=======
 
 
 def fail_on(desk, checkins, job, machine, now):
@@ -553,4 +551,3 @@
     fail_on(desk, checkins, sound, "m1", 5.0)
     fail_on(desk, checkins, other, "m1", 6.0)
     assert desk.book.failures_against(m1) == 2
->>>>>>> Stashed changes
