--- a/src/passrock/controller/pump.py
+++ b/src/passrock/controller/commit_queue.py
@@ -1,4 +1,4 @@
-"""Commits the leader's changes of job records, one transaction at a time."""
+"""The leader's queue of changed job records, committed one transaction at a time."""
 
 from __future__ import annotations
 
@@ -31,8 +31,8 @@
         self.orphans: list[str] = []
 
 
-class Pump:
-    """Writes what is dirty, under the condition that this node still leads."""
+class CommitQueue:
+    """Writes the changed records, under the condition that this node still leads."""
 
     def __init__(self, state: StateClient, book: Book, leader_stamp: int, txn_ops: int) -> None:
         self.state = state
--- a/src/passrock/controller/watch.py
+++ b/src/passrock/controller/failure_detector.py
@@ -1,4 +1,4 @@
-"""The leader's watch over its machines: silent, deaf, faulty and late ones, and leases that have ended."""
+"""The leader's failure detector: silent, unreachable, faulty and late machines, and leases that have ended."""
 
 from __future__ import annotations
 
@@ -13,15 +13,15 @@
 from passrock.logs import info
 from passrock.settings import Settings
 
-ABDICATE_PART = 6  # if more than a sixth of the fleet turns up at other controllers, the silence is this one's fault
+ABDICATE_PART = 6  # more than a sixth of the fleet at other controllers: this one's own connections have failed
 CROWD, CROWD_LEAST = 8, 4  # silent machines above an eighth of the fleet, and four, are a crowd:
 CROWD_PATIENCE = 0.9  # of the lease, which by then has all but ended, before one of a crowd with replicas is given up
 CLEAR_PART = 0.5  # of cancel_s, before a silent machine with tasks of a cancelled job is deleted
 DEATH_SHOWN_S = 30.0  # until the cloud's list shows a machine that died as failed
 
 
-class Watch:
-    """Judges machines by what is evident of them."""
+class FailureDetector:
+    """Decides which machines have failed, by the evidence that their reports give."""
 
     def __init__(
         self, settings: Settings, book: Book, fleet: Fleet, leadership: Leadership, rentals: Rentals
@@ -34,7 +34,7 @@
         self.drain: Callable[[str], None] = lambda name: None
         self.given_up: deque[float] = deque()  # when machines were given up for silent, over the last lease
 
-    def look(self, now: float) -> None:
+    def evaluate(self, now: float) -> None:
         """Take note of silence, deafness and ends of leases; have machines deleted that won't serve again."""
         fleet = self.fleet
         self.clear_cancelled(now)
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -9,11 +9,11 @@
 from typing import Any
 
 from passrock.controller import keys
+from passrock.controller.commit_queue import CommitQueue
+from passrock.controller.failure_detector import FailureDetector
 from passrock.controller.leadership import Leadership
-from passrock.controller.pump import Pump
 from passrock.controller.rentals import Rentals
 from passrock.controller.replica import Replica
-from passrock.controller.watch import Watch
 from passrock.core.aims import Aims
 from passrock.core.cancellations import Cancellations
 from passrock.core.checkin import Checkins
@@ -68,15 +68,15 @@
         keep_after = operator.begin_within_s * operator.keep_room_ratio
         aims = Aims(settings.objectives, keep_after)
         self.placer = Placer(self.book, self.fleet, settings.teams, self.bound, aims)
-        self.pump = Pump(state, self.book, leadership.stamp, settings.txn_ops)
-        self.pump.on_final = replica.note_final
-        self.pump.on_commit = self._move
-        self.pump.lost = lambda: leadership.step_down("leader key lost")
+        self.commit_queue = CommitQueue(state, self.book, leadership.stamp, settings.txn_ops)
+        self.commit_queue.on_final = replica.note_final
+        self.commit_queue.on_commit = self._move
+        self.commit_queue.lost = lambda: leadership.step_down("leader key lost")
         self.rentals = Rentals(settings, state, cloud, market, self.fleet, leadership)
         self.rentals.on_gone = self.machine_gone
         self.rentals.on_change = self.poke
-        self.watch = Watch(settings, self.book, self.fleet, leadership, self.rentals)
-        self.watch.drain = self._drain
+        self.failure_detector = FailureDetector(settings, self.book, self.fleet, leadership, self.rentals)
+        self.failure_detector.drain = self._drain
         self.ready = False
         self.round_due = 0.0
         self.round_at = -math.inf
@@ -120,7 +120,7 @@
         self._load()
         self.tasks += [
             asyncio.ensure_future(self._guard(work))
-            for work in (self.pump.run(), self.rentals.list_machines(), self.rentals.deletions())
+            for work in (self.commit_queue.run(), self.rentals.list_machines(), self.rentals.deletions())
         ]
         self.rentals.resume(self.replica.with_prefix(keys.INTENT))
         while True:
@@ -144,7 +144,7 @@
             job_id, _, number = entry.key[len(keys.CHUNK) :].rpartition("/")
             job = self.book.jobs.get(job_id)
             if job is None:
-                self.pump.orphans.append(entry.key)
+                self.commit_queue.orphans.append(entry.key)
             else:
                 self.book.load_chunk(job, int(number), entry.value, entry.version)
         for entry in self.replica.with_prefix(keys.CANCEL):
@@ -165,15 +165,15 @@
         self.replica.listeners.append(self._listen)
         self.ready = True
         info("term_ready", term=self.leadership.term, jobs=len(self.book.jobs), machines=len(self.book.held))
-        self.pump.wake.set()
+        self.commit_queue.wake.set()
 
     def _listen(self, key: str, entry: Entry | None) -> None:
         """A change of the state: new jobs and cancellations come this way."""
         if key.startswith(keys.JOB):
             job_id = key[len(keys.JOB) :]
             if entry is None:
-                self.pump.removed.discard(job_id)
-            elif job_id not in self.book.jobs and job_id not in self.pump.removed:
+                self.commit_queue.removed.discard(job_id)
+            elif job_id not in self.book.jobs and job_id not in self.commit_queue.removed:
                 job = self.book.load(entry.value, entry.version, steady(), time_of_day())
                 self.round_early()
                 if job.spec.priority is Priority.PRODUCTION:
@@ -209,7 +209,7 @@
         if not job.cancelled:
             info("job_cancelled", job=job_id)
         self.book.cancel(job, at)
-        self.pump.wake.set()
+        self.commit_queue.wake.set()
         self.poke()
 
     def round_early(self) -> None:
@@ -249,7 +249,7 @@
             self._log_changes(machine, now)
             self.poke()
         if self.book.dirty or self.book.finishing:
-            self.pump.wake.set()
+            self.commit_queue.wake.set()
         if machine.deleting:
             return None  # its deletion may take long: unanswered, its lease ends as well
         machine.answered = now
@@ -306,7 +306,7 @@
         self.bound.pop(name, None)
         self.round_early()
         info("machine_gone", machine=name, tasks=lost)
-        self.pump.wake.set()
+        self.commit_queue.wake.set()
         self.poke()
 
     # -- the leader's look at everything ---------------------------------------------------------
@@ -319,13 +319,13 @@
         self._last_tick = now
         if not self.leadership.holds_lease():
             if self.leadership.may_renew():
-                self.watch.clear_cancelled(now)  # the time for these runs on through an outage
+                self.failure_detector.clear_cancelled(now)  # the time for these runs on through an outage
             return
         self.leadership.check_fence()
         planning = now >= self._plan_due
         if planning:
             self._plan_due = now + self.settings.report_s * PLAN_EVERY
-            self.watch.look(now)
+            self.failure_detector.evaluate(now)
         started = self.placer.run(now)
         for live in started:
             info("place", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=live.machine)
@@ -335,7 +335,7 @@
         if now >= self.round_due:
             self._round(now)
         if self.book.dirty or self.book.finishing:
-            self.pump.wake.set()
+            self.commit_queue.wake.set()
         self.ticks += 1
         self._move()
 
--- a/tests/scale.py
+++ b/tests/scale.py
@@ -13,9 +13,9 @@
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parents[1] / "src")]
 
+from passrock.controller.failure_detector import FailureDetector  # noqa: E402
 from passrock.controller.node import Node  # noqa: E402
 from passrock.controller.term import Term  # noqa: E402
-from passrock.controller.watch import Watch  # noqa: E402
 from passrock.core.placement import Placer  # noqa: E402
 from standins import virtual_loop  # noqa: E402
 from standins.world import World  # noqa: E402
@@ -85,7 +85,7 @@
         (Node, ("_checkin",)),
         (Term, ("checkin", "tick", "_preempt", "_rent", "_round")),
         (Placer, ("run",)),
-        (Watch, ("look",)),
+        (FailureDetector, ("evaluate",)),
     ):
         for name in names:
             timed(owner, name)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -6,9 +6,9 @@
 import cbor2
 import pytest
 
+from passrock.controller.failure_detector import FailureDetector
 from passrock.controller.leadership import Leadership
 from passrock.controller.users import Unavailable, Users
-from passrock.controller.watch import Watch
 from passrock.core.cancellations import PeerKnowledge
 from passrock.core.model import NOTHING
 from passrock.core.placement import Placer
@@ -543,7 +543,7 @@
 
 
 def waits_for_a_crowd_with_cancelled_tasks(monkeypatch):
-    monkeypatch.setattr(Watch, "clear_cancelled", lambda self, now: None)
+    monkeypatch.setattr(FailureDetector, "clear_cancelled", lambda self, now: None)
 
 
 def takes_whatever_comes(monkeypatch):
