--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from passrock.controller import keys
+from passrock.controller.binding_rounds import BindingRounds
 from passrock.controller.commit_queue import CommitQueue
 from passrock.controller.failure_detector import FailureDetector
 from passrock.controller.leadership import Leadership
@@ -17,25 +18,21 @@
 from passrock.core.aims import Aims
 from passrock.core.cancellations import Cancellations
 from passrock.core.checkin import Checkins
-from passrock.core.fleet import Command, Fleet, Machine, Report, TaskState
+from passrock.core.fleet import Command, Fleet, Machine, Report
 from passrock.core.jobs import Book, Job, chunk_tasks
 from passrock.core.model import Kind, Priority
 from passrock.core.placement import Placer, stop_softly
 from passrock.core.renting import Market, plan_rentals, plan_returns
-from passrock.core.reservation import Binding, Claim, Unit, bind, pages, zone_gap
+from passrock.core.reservation import zone_gap
 from passrock.io.clock import steady, time_of_day
 from passrock.io.cloud import CloudClient
-from passrock.io.state import Committed, StateClient, StateError
+from passrock.io.state import StateClient
 from passrock.logs import error, info
 from passrock.settings import Settings
-from passrock.wire.state import TXN_BYTES, Entry, Put, Write
+from passrock.wire.state import Entry
 
 TICK_REST = 2.0  # times the time a tick took, until the next one
 PLAN_EVERY = 0.4  # of the report interval, between looks at renting and displacement
-EARLY_ROUND = 0.25  # of the round interval, the least time between two rounds
-RECORD_SPARE = 0.6  # of the burst of writes must be free before a round's records are written
-RECORD_FILL = 0.9  # of a record's largest size is filled with names of machines
-HINT_BYTES = 160  # a machine with its images in a hint record, at its longest
 
 
 class Term:
@@ -78,10 +75,7 @@
         self.failure_detector = FailureDetector(settings, self.book, self.fleet, leadership, self.rentals)
         self.failure_detector.drain = self._drain
         self.ready = False
-        self.round_due = 0.0
-        self.round_at = -math.inf
-        self.recorded: dict[str, Any] = {}
-        self.recording: asyncio.Task[None] | None = None
+        self.rounds = BindingRounds(settings, state, leadership, self.book, self.fleet, market, self.placer)
         self.tasks: list[asyncio.Task[None]] = []
         self.ticks = 0
         self._poked = asyncio.Event()
@@ -99,6 +93,7 @@
         """End it; nothing of the term acts any more."""
         for task in self.tasks:
             task.cancel()
+        self.rounds.stop()
         if self._listen in self.replica.listeners:
             self.replica.listeners.remove(self._listen)
 
@@ -158,8 +153,7 @@
             self.book.check_loaded(job)
         for prefix in (keys.RESERVATION, keys.MORE):
             for entry in self.replica.with_prefix(prefix):
-                self.recorded[entry.key] = entry.value
-                self.bound.update(dict.fromkeys(entry.value["m"], keys.reservation_team(entry.key)))
+                self.rounds.load(entry)
         for entry in self.replica.with_prefix(keys.HINT):
             self.fleet.load_hints(entry.value)
         self.replica.listeners.append(self._listen)
@@ -175,7 +169,7 @@
                 self.commit_queue.removed.discard(job_id)
             elif job_id not in self.book.jobs and job_id not in self.commit_queue.removed:
                 job = self.book.load(entry.value, entry.version, steady(), time_of_day())
-                self.round_early()
+                self.rounds.bring_forward()
                 if job.spec.priority is Priority.PRODUCTION:
                     self._plan_due = 0.0  # it displaces other work at once, best before that is launched
                 info(
@@ -212,11 +206,6 @@
         self.commit_queue.wake.set()
         self.poke()
 
-    def round_early(self) -> None:
-        """Demand or machines changed: the next round comes early, though not at once again."""
-        early = self.round_at + self.settings.operator.round_s * EARLY_ROUND
-        self.round_due = min(self.round_due, max(steady(), early))
-
     def poke(self) -> None:
         """Something changed: look again soon."""
         self._poked.set()
@@ -256,7 +245,7 @@
         if machine.notice_until is not None:
             self._drain(machine.name)
         if machine.confirmed and not was_usable:
-            self.round_early()
+            self.rounds.bring_forward()
             info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
             self.poke()
         lives = self.book.held.get(machine.name)
@@ -304,7 +293,7 @@
         """The cloud has confirmed that a machine is gone."""
         lost = self.book.machine_gone(name, steady())
         self.bound.pop(name, None)
-        self.round_early()
+        self.rounds.bring_forward()
         info("machine_gone", machine=name, tasks=lost)
         self.commit_queue.wake.set()
         self.poke()
@@ -332,8 +321,7 @@
         if planning:
             self._preempt(self.placer.waiting, now)
             self._rent(self.placer.waiting, now)
-        if now >= self.round_due:
-            self._round(now)
+        self.rounds.run_if_due(now)
         if self.book.dirty or self.book.finishing:
             self.commit_queue.wake.set()
         self.ticks += 1
@@ -405,94 +393,3 @@
             production[machine.zone] += mine * self.settings.operator.buffer_share
             room[machine.zone] += machine.type.size.gpus - mine
         return production, room
-
-    # -- the binding round -----------------------------------------------------------------------
-
-    def _round(self, now: float) -> None:
-        early = now - self.round_at < self.settings.operator.round_s
-        self.round_due = now + self.settings.operator.round_s
-        self.round_at = now
-        result = self._bind(now)
-        self.bound.clear()
-        self.bound.update(result.owner)
-        records: dict[str, list[str]] = {team: [] for team in self.settings.teams}
-        for name, team in sorted(result.owner.items()):
-            records[team].append(name)
-        writes: dict[str, Any] = {}
-        for team, names in records.items():
-            for page, part in enumerate(pages(names, self.settings.value_bytes * RECORD_FILL)):
-                writes[keys.reservation(team, page)] = {"m": part}
-        for key in self.recorded:
-            if key.startswith(keys.MORE) and key not in writes:
-                writes[key] = {"m": []}  # a reservation that has shrunk leaves an empty page
-        if not early:
-            hints = self.fleet.encode_hints(max(1, self.settings.value_bytes // HINT_BYTES))
-            writes.update({f"{keys.HINT}{i}": record for i, record in enumerate(hints)})
-        changed = {key: value for key, value in writes.items() if value != self.recorded.get(key)}
-        info("round", short=len(result.short), changed=len(changed), **self._census())
-        if changed:
-            if self.recording is not None:
-                self.recording.cancel()  # this round's records stand for those not yet written
-            self.recording = asyncio.ensure_future(self._record(changed))
-            self.tasks.append(self.recording)
-        self.tasks = [task for task in self.tasks if not task.done()]
-
-    def _census(self) -> dict[str, object]:
-        """Where the machines' GPUs are, for the log."""
-        sums = dict.fromkeys(("booting", "idle", "placed", "running", "stranded"), 0.0)
-        for machine in self.fleet.machines.values():
-            lives = self.book.held.get(machine.name, {}).values()
-            placed = sum(live.job.spec.need.gpus for live in lives)
-            if not machine.up:
-                sums["booting"] += machine.type.size.gpus
-            elif not lives:
-                sums["idle"] += machine.type.size.gpus
-            else:
-                sums["stranded"] += machine.type.size.gpus - placed
-            running = sum(live.job.spec.need.gpus for live in lives if live.state is TaskState.RUNNING)
-            sums["running"] += running
-            sums["placed"] += placed - running
-        waiting = sum(job.spec.need.gpus * job.waiting for job in self.book.jobs.values() if not job.cancelled)
-        return {"machines": len(self.fleet.machines), "waiting": waiting, **sums}
-
-    def _bind(self, now: float) -> Binding:
-        whole = max((kind.size.gpus for kind in self.market.types.values()), default=1.0) or 1.0
-        units = []
-        for machine in self.fleet.machines.values():
-            if machine.deleting or machine.notice_until is not None:
-                continue
-            lives = self.book.held.get(machine.name, {})
-            teams = frozenset(live.job.spec.team for live in lives.values())
-            units.append(Unit(machine.name, machine.zone, machine.type.size.gpus / whole, not lives, teams))
-        claims = []
-        for team in self.settings.teams.values():
-            asked = self.placer.demand(team.name).gpus
-            if team.gpus_max > 0:
-                asked = min(asked, team.gpus_max)
-            desired = asked / whole
-            claims.append(Claim(team.name, desired, team.gpus / whole, desired * self.settings.operator.buffer_share))
-        return bind(units, claims, self.bound, self.settings.zones, self.settings.operator.alpha_extra)
-
-    async def _record(self, changed: dict[str, Any]) -> None:
-        """Write the reservations and hints that changed, with what jobs leave of the write rate.
-
-        On a large fleet there are dozens, enough to hold up launches and completions for seconds.
-        """
-        writes = self.state.writes
-        names = sorted(changed, key=lambda key: (key.startswith(keys.HINT), key))
-        while names:
-            while writes.spare(steady()) < RECORD_SPARE:
-                await asyncio.sleep(self.settings.report_s / 4)
-            count = max(1, min(self.settings.txn_ops, int(writes.burst * RECORD_SPARE / 2)))
-            count = min(count, max(1, TXN_BYTES // self.settings.value_bytes))
-            part, names = names[:count], names[count:]
-            changes: list[Write] = [Put(key, changed[key]) for key in part]
-            try:
-                result = await self.state.commit({keys.LEADER: self.leadership.stamp}, changes)
-            except StateError:
-                return  # the next round writes what still differs
-            if not isinstance(result, Committed):
-                self.leadership.step_down("leader key lost")
-                return
-            for key in part:
-                self.recorded[key] = changed[key]
--- a/tests/scale.py
+++ b/tests/scale.py
@@ -13,6 +13,7 @@
 
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parents[1] / "src")]
 
+from passrock.controller.binding_rounds import BindingRounds  # noqa: E402
 from passrock.controller.failure_detector import FailureDetector  # noqa: E402
 from passrock.controller.node import Node  # noqa: E402
 from passrock.controller.term import Term  # noqa: E402
@@ -83,7 +84,8 @@
     options = parser.parse_args()
     for owner, names in (
         (Node, ("_checkin",)),
-        (Term, ("checkin", "tick", "_preempt", "_rent", "_round")),
+        (Term, ("checkin", "tick", "_preempt", "_rent")),
+        (BindingRounds, ("_run",)),
         (Placer, ("run",)),
         (FailureDetector, ("evaluate",)),
     ):
