--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -20,7 +20,8 @@
 from passrock.core.fleet import Command, Fleet, Machine, Report
 from passrock.core.jobs import Book, Job, chunk_tasks
 from passrock.core.model import Kind, Priority
-from passrock.core.placement import Placer, stop_softly
+from passrock.core.placement import Placer
+from passrock.core.preemption import Preemption, stop_softly
 from passrock.core.renting import Market, plan_rentals, plan_returns
 from passrock.core.reservation import zone_gap
 from passrock.io.clock import steady, time_of_day
@@ -64,6 +65,7 @@
         keep_after = operator.begin_within_s * operator.keep_room_ratio
         aims = Aims(settings.objectives, keep_after)
         self.placer = Placer(self.book, self.fleet, settings.teams, self.bound, aims)
+        self.preemption = Preemption(self.placer)
         self.commit_queue = CommitQueue(
             state,
             self.book,
@@ -334,10 +336,10 @@
 
     def _preempt(self, queue: list[Job], now: float) -> None:
         for job in queue:
-            if not self.placer.displaces(job):
+            if not self.preemption.displaces(job):
                 continue
             early = now - job.order < self.settings.report_s and job.spec.priority is not Priority.PRODUCTION
-            for live in self.placer.make_room(job, now, early):
+            for live in self.preemption.make_room(job, now, early):
                 info("preempt", job=live.job.spec.id, task=live.index, machine=live.machine, by=job.spec.id)
                 stop_softly(live, self.settings.gang_peer_s)
                 if self.book.unsent(live):  # nothing of it is on its way: the room is free at once
@@ -348,7 +350,7 @@
                     self.book.recount(machine, now)
 
     def _rent(self, queue: list[Job], now: float) -> None:
-        lacking = [job for job in queue if job.spec.kind is not Kind.GANG or not self.placer.stopping_for(job)]
+        lacking = [job for job in queue if job.spec.kind is not Kind.GANG or not self.preemption.stopping_for(job)]
         wanted = plan_rentals(lacking, self.book, self.fleet, self.settings.teams, self.market, self.placer.aims, now)
         production, room = self._zone_rooms()
         gap = zone_gap(production, room, self.settings.zones)
--- /dev/null
+++ b/src/passrock/core/preemption.py
@@ -0,0 +1,247 @@
+"""Preemption: which running work ends so that a waiting job of higher standing fits."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from passrock.core.aims import fetch_time
+from passrock.core.fleet import Machine, TaskState
+from passrock.core.jobs import Job, Live
+from passrock.core.model import NOTHING, Kind, Priority
+from passrock.core.placement import ARRAY_BATCH, Hold, Placer
+
+COUNTS_S = 30.0  # a start counts for its user once the task was left to run for this long
+
+
+class Preemption:
+    """Chooses victims for jobs that the last placement pass left waiting, in the state which that pass left."""
+
+    def __init__(self, placer: Placer) -> None:
+        self.placer = placer
+        self.book = placer.book
+        self.fleet = placer.fleet
+        self.aims = placer.aims
+        self.patience = placer.patience
+
+    def settled(self, victim: Live, now: float) -> bool:
+        """Whether a task, or its whole gang, has run long enough for its start to count.
+
+        Stopping a job that is still fetching, or has just begun, gave one job its start by taking those
+        of several others; the room they had fetched their images for was fetched for again.
+        """
+        mates = victim.job.lives() if victim.job.spec.kind is Kind.GANG else [victim]
+        return all(live.running_since is not None and now - live.running_since > COUNTS_S for live in mates)
+
+    def may_stop(self, victim: Live, job: Job, now: float) -> bool:
+        """PROTOCOL's reasons: higher priority, or work beyond another team's guarantee."""
+        other = victim.job
+        if other is job or other.cancelled or self.placer.rank(job) <= self.placer.rank(other):
+            return False
+        at_once = job.spec.priority is Priority.PRODUCTION or self.revocable(victim, job)
+        if not at_once and not self.settled(victim, now):
+            return False
+        if other.spec.priority < job.spec.priority:
+            return True
+        beyond = job.spec.id in self.placer.guaranteed and other.spec.id not in self.placer.guaranteed
+        return beyond and other.spec.team != job.spec.team
+
+    def is_elastic(self, job: Job) -> bool:
+        """Whether a job uses what others leave: low-priority work of a team without a guarantee (RAS §3.4)."""
+        team = self.placer.teams.get(job.spec.team)
+        return team is not None and not team.has_guarantee and job.spec.priority is Priority.LOW
+
+    def revocable(self, victim: Live, job: Job) -> bool:
+        """Whether a task gives way to a guaranteed job as soon as that needs the room."""
+        return job.spec.id in self.placer.guaranteed and self.is_elastic(victim.job)
+
+    def has_elastic_work(self) -> bool:
+        """Whether any team without a guarantee uses machines at the moment."""
+        return any(
+            not team.has_guarantee and self.book.usage.get(team.name, NOTHING) != NOTHING
+            for team in self.placer.teams.values()
+        )
+
+    def revoke(self, job: Job, now: float) -> list[Live]:
+        """Elastic tasks whose end lets a guaranteed gang start; empty when they are not enough.
+
+        What was lent for idle time is revoked at once. It used to be displaced as late as other work, when
+        waiting longer would have missed an aim, and not at all in its first seconds: gangs waited for a
+        minute beside machines full of it.
+        """
+        if job.spec.kind is not Kind.GANG or job.spec.id not in self.placer.guaranteed or not self.has_elastic_work():
+            return []
+        plan = self.plan_room(job, now, math.inf, elastic_only=True)
+        return self.displace(job, plan, now) if any(stopped for _, stopped in plan) else []
+
+    def loss(self, victim: Live, now: float) -> float:
+        """Seconds of work lost when this task is stopped, over its whole gang."""
+        spec = victim.job.spec
+        saves = spec.checkpoint > 0 and victim.state is TaskState.RUNNING
+        lost = spec.save if saves else now - victim.placed_at  # a fetch that is broken off is lost too
+        machine = self.fleet.machines.get(victim.machine)
+        restart = fetch_time(spec, machine.type) if machine is not None else 0.0
+        count = victim.job.live_count if spec.kind is Kind.GANG else 1
+        return (lost + restart) * count * max(1.0, spec.need.gpus)
+
+    def displaces(self, job: Job) -> bool:
+        """Whether the job's class of standing displaces others at all."""
+        return job.spec.priority >= Priority.HIGH or job.spec.id in self.placer.guaranteed
+
+    def make_room(self, job: Job, now: float, early: bool = False) -> list[Live]:
+        """Choose victims so that the job's waiting tasks fit; returns the attempts to stop.
+
+        While it is ``early`` for the job, only elastic work is displaced for it. Production takes room at
+        once. Other work is displaced only when that lets the job meet an aim that waiting would miss: under
+        overload, displacing early and for aims that were lost already made most machines fetch images
+        instead of running tasks.
+        """
+        spec = job.spec
+        overdue = self.aims.overdue(job, now)
+        if self.stopping_for(job):
+            return []  # earlier victims are still on their way out
+        revoked = self.revoke(job, now)
+        if revoked or early:
+            return revoked
+        if not overdue and spec.priority is not Priority.PRODUCTION:
+            left = self.aims.due(job, now, spec.id in self.placer.guaranteed) - now
+            if left < 0 or left > self.fleet.lease_s + 4 * self.patience + 2 * self.placer.longest_fetch(job):
+                return []  # a plan, dear to make, would be dropped below
+        plan = self.plan_room(job, now, math.inf)
+        if not overdue and spec.priority is not Priority.PRODUCTION:
+            left = self.aims.due(job, now, spec.id in self.placer.guaranteed) - now - self.delay_of(plan)
+            if fetch_of(job, plan) > left:
+                plan = self.plan_room(job, now, left)
+            if fetch_of(job, plan) + self.fleet.lease_s < left:
+                return []  # room may still come by itself
+        return self.displace(job, plan, now)
+
+    def stopping_for(self, job: Job) -> bool:
+        """Whether work is on its way out on a machine held for the job."""
+        return any(
+            live.stop is not None
+            for name, hold in self.placer.holds.items()
+            if hold.job == job.spec.id
+            for live in self.book.held.get(name, {}).values()
+        )
+
+    def delay_of(self, plan: list[tuple[Machine, list[Live]]]) -> float:
+        """Seconds until the victims of a plan have saved and are gone."""
+        saves = [live.job.spec.save for _, stopped in plan for live in stopped if live.job.spec.checkpoint > 0]
+        return self.patience + max(saves, default=0.0)
+
+    def displace(self, job: Job, plan: list[tuple[Machine, list[Live]]], now: float) -> list[Live]:
+        """Hold a plan's machines for the job; the attempts to stop there, gangs whole.
+
+        The hold outlasts the victims' saving: a shorter one let others take the room, and the job
+        began to fetch elsewhere after having waited in vain.
+        """
+        until = now + self.delay_of(plan) + 2 * self.patience
+        victims: dict[tuple[str, int], Live] = {}
+        for machine, stopped in plan:
+            self.placer.holds[machine.name] = Hold(job.spec.id, until)
+            for live in stopped:
+                mates = live.job.lives() if live.job.spec.kind is Kind.GANG else [live]
+                victims.update({mate.key: mate for mate in mates})
+        return list(victims.values())
+
+    def plan_room(
+        self, job: Job, now: float, most_fetch: float, elastic_only: bool = False
+    ) -> list[tuple[Machine, list[Live]]]:
+        """Machines for the job's waiting tasks, with the victims on each; empty when there are none."""
+        spec = job.spec
+        wanted = spec.tasks if spec.kind is Kind.GANG else len(job.next_waiting(ARRAY_BATCH))
+        while wanted > 0 and not self.placer.allowed_now(job, wanted):
+            wanted = 0 if spec.kind is Kind.GANG else wanted - 1
+        counts = {} if spec.kind is Kind.GANG else job.zone_counts(self.fleet)
+        best: tuple[float, list[tuple[Machine, list[Live]]]] | None = None
+        zones: Iterable[str | None] = [None]
+        if spec.one_zone:
+            zones = [self.placer.fixed_zone(job, counts)] if counts else self.placer.gang_zones(job)
+        for zone in zones if wanted else ():
+            plan = self.cheapest(job, zone, dict(counts), wanted, now, most_fetch, elastic_only)
+            whole = spec.kind is not Kind.GANG or len(plan[1]) == wanted
+            if plan[1] and whole and (best is None or plan[0] < best[0]):
+                best = plan
+        return best[1] if best is not None else []
+
+    def cheapest(
+        self,
+        job: Job,
+        zone: str | None,
+        counts: dict[str, int],
+        wanted: int,
+        now: float,
+        most_fetch: float,
+        elastic_only: bool,
+    ) -> tuple[float, list[tuple[Machine, list[Live]]]]:
+        """Machines with the victims on each, for as many of ``wanted`` tasks as can be had."""
+        spec = job.spec
+        options = []
+        for machine in self.placer.usable:
+            if not spec.allows(machine.type.name, machine.zone, machine.spot) or not self.placer.free_for(
+                job, machine
+            ):
+                continue
+            if (zone is not None and machine.zone != zone) or machine.name in job.avoid:
+                continue
+            if machine.fetch_wait(spec) > most_fetch:
+                continue
+            found = self.victims(job, machine, now, elastic_only)
+            if found is not None:
+                options.append((found[0] + machine.fetch_wait(spec), machine.name, machine, found[1]))
+        options.sort(key=lambda option: option[:2])
+        cap = spec.zone_cap()
+        total = 0.0
+        chosen: list[tuple[Machine, list[Live]]] = []
+        for price, _, machine, stopped in options:
+            if len(chosen) == wanted:
+                break
+            if spec.spread and counts.get(machine.zone, 0) >= cap:
+                continue
+            counts[machine.zone] = counts.get(machine.zone, 0) + 1
+            total += price
+            chosen.append((machine, stopped))
+        return total, chosen
+
+    def victims(self, job: Job, machine: Machine, now: float, elastic_only: bool) -> tuple[float, list[Live]] | None:
+        """The cheapest attempts on a machine whose end lets one task of the job fit."""
+        need = job.spec.need
+        room = self.placer.rooms.of(machine)
+        if need.fits(room):
+            return 0.0, []
+        lives = self.book.held.get(machine.name, {}).values()
+        for live in lives:
+            if live.stop is not None:  # on its way out already
+                room = room + live.job.spec.need
+        choice = sorted(
+            (
+                live
+                for live in lives
+                if live.stop is None
+                and (not elastic_only or self.is_elastic(live.job))
+                and self.may_stop(live, job, now)
+            ),
+            key=lambda live: (self.placer.rank(live.job), self.loss(live, now), live.key),
+        )
+        total = 0.0
+        stopped: list[Live] = []
+        for live in choice:
+            if need.fits(room):
+                break
+            room = room + live.job.spec.need
+            total += self.loss(live, now)
+            stopped.append(live)
+        return (total, stopped) if need.fits(room) else None
+
+
+def fetch_of(job: Job, plan: list[tuple[Machine, list[Live]]]) -> float:
+    """The longest wait for the job's image among the machines of a plan."""
+    return max((machine.fetch_wait(job.spec) for machine, _ in plan), default=0.0)
+
+
+def stop_softly(live: Live, patience: float) -> None:
+    """Ask a task to end, with time to save where it has checkpoints."""
+    if live.stop is None:
+        can_save = live.job.spec.checkpoint > 0 and live.state is TaskState.RUNNING
+        live.stop = max(patience, live.job.spec.save) if can_save else 0.0
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -5,6 +5,7 @@
 from passrock.core.jobs import Book, new_record
 from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
 from passrock.core.placement import Placer
+from passrock.core.preemption import Preemption
 
 BOX = MachineType("box", Amount(16, 2, 64), 100.0, 1.0, 5.0, 1.5, 10.0, ("a", "b", "c"))
 TEAMS = {name: Team(name, 0, 0, 4, 8) for name in ("t0", "t1")}
@@ -51,6 +52,7 @@
         self.book = Book(chunk)
         self.fleet = Fleet(1.0, 10.0, 0.36, 0.0, TERM)
         self.placer = Placer(self.book, self.fleet, TEAMS, {}, AIMS)
+        self.preemption = Preemption(self.placer)
         self.stamp = 0
         for name, zone, spot in machines:
             self.up(name, zone, spot)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -8,7 +8,7 @@
 from passrock.core.fleet import Op, TaskState
 from passrock.core.jobs import Book, chunk_tasks, new_record
 from passrock.core.model import NOTHING, Amount, Kind, Priority, Team
-from passrock.core.placement import stop_softly
+from passrock.core.preemption import stop_softly
 from passrock.core.renting import Market, Offer, plan_rentals, plan_returns
 from tables import AIMS, BOX, TEAMS, TERM, Desk, report, row, spec
 
@@ -255,10 +255,10 @@
     desk.fleet.machines["m1"].used = BOX.size
     desk.placer.run(1.0)
     if waiting.spec.priority is not Priority.PRODUCTION:
-        assert not desk.placer.make_room(waiting, 1.0)  # a start that does not count yet is not taken back
+        assert not desk.preemption.make_room(waiting, 1.0)  # a start that does not count yet is not taken back
         for live in desk.book.held["m1"].values():
             live.running_since = -60.0
-    assert bool(desk.placer.make_room(waiting, 1.0)) is displaced
+    assert bool(desk.preemption.make_room(waiting, 1.0)) is displaced
 
 
 # reports in a row (session, seq, token, whether the launch is listed), whether the machine may be used after them
@@ -478,12 +478,12 @@
         live.state, live.seen = TaskState.RUNNING, True
     replica = desk.job(2, priority=Priority.PRODUCTION, at=1.0)
     desk.run(1.0)
-    victims = desk.placer.make_room(replica, 1.0)
+    victims = desk.preemption.make_room(replica, 1.0)
     assert {live.machine for live in victims} == {"m1", "m2"}
     for live in victims:
         stop_softly(live, 6.0)
     assert [live.stop for live in gang.lives()] == [6.0, 6.0]
-    assert desk.placer.make_room(replica, 2.0) == []  # one set of victims at a time
+    assert desk.preemption.make_room(replica, 2.0) == []  # one set of victims at a time
 
 
 ELASTIC = [
@@ -508,9 +508,9 @@
         2, at=1.0, kind=kind, tasks=tasks, need=Amount(14, 2, 50), priority=Priority.HIGH, job_class="late"
     )
     assert desk.run(1.0) == []
-    victims = desk.placer.make_room(gang, 1.0, early=True)
+    victims = desk.preemption.make_room(gang, 1.0, early=True)
     assert (len(victims) == 4 * tasks) is revoked and bool(victims) is revoked
-    assert desk.placer.stopping_for(gang) is False  # until they are told
+    assert desk.preemption.stopping_for(gang) is False  # until they are told
 
 
 def test_elastic_work_is_left_alone_when_its_room_is_not_enough():
@@ -521,7 +521,7 @@
     desk.job(2, team="guest", priority=Priority.LOW, tasks=4, need=Amount(4, 0, 10))
     desk.run()
     gang = desk.job(3, at=1.0, kind=Kind.GANG, tasks=2, need=Amount(14, 2, 50), priority=Priority.HIGH)
-    assert desk.run(1.0) == [] and desk.placer.make_room(gang, 1.0) == []
+    assert desk.run(1.0) == [] and desk.preemption.make_room(gang, 1.0) == []
 
 
 def fail_on(desk, checkins, job, machine, now):
