Messages from outside are decoded into typed structs in one step

A check-in was checked field by field in Python. msgspec now converts the decoded CBOR with its constraints. Bodies with a key that is not text and counts of more than 64 bits stay refused, with new cases for both. A leader whose read of the state alone proves its knowledge of cancellations doesn't look at its peers' lists for each answer.

--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -82,6 +82,8 @@
     def knows_cancellations(self, within_s: float) -> bool:
         """Whether every cancellation told to a user more than ``within_s`` ago is known here."""
         now = steady()
+        if now - self.replica.read_at <= within_s:
+            return True  # the ordinary case: a read of the state alone proves it
         return now - self.cancellations_whole_until(now) <= within_s
 
     def may_launch(self) -> bool:
--- a/src/passrock/wire/cloud.py
+++ b/src/passrock/wire/cloud.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from passrock.core.fleet import Listed
 from passrock.core.model import Amount, MachineType
 from passrock.wire import cbor
@@ -14,22 +16,71 @@
 MOST_PER_DELETE = 100
 
 
+class _Type(
+    msgspec.Struct,
+    rename={
+        "name": "sku",
+        "cpus": "cores",
+        "gpus": "cards",
+        "memory": "ramGb",
+        "cache_gb": "localGb",
+        "fetch_rate": "fetchGbPerS",
+        "spot_price": "spotPrice",
+        "boot_s": "bootS",
+        "zones": "branches",
+    },
+):
+    name: cbor.Text
+    cpus: cbor.Number
+    gpus: cbor.Number
+    memory: cbor.Number
+    cache_gb: cbor.Number
+    fetch_rate: cbor.Number
+    price: cbor.Number
+    spot_price: cbor.Number
+    boot_s: cbor.Number
+    zones: tuple[cbor.TextOrEmpty, ...]
+
+
+class _Types(msgspec.Struct, rename={"types": "bindings"}):
+    types: list[_Type]
+
+
+class _Rented(msgspec.Struct, rename={"machines": "stacks"}):
+    machines: tuple[cbor.TextOrEmpty, ...]
+
+
+class _Machine(
+    msgspec.Struct, rename={"name": "ref", "type": "binding", "zone": "branch", "spot": "loaners", "age": "ageS"}
+):
+    name: cbor.Text
+    type: cbor.Text
+    zone: cbor.Text
+    spot: bool
+    status: cbor.Text
+    age: cbor.Number
+
+
+class _Machines(msgspec.Struct, rename={"machines": "stacks"}):
+    machines: list[_Machine]
+    truncated: bool | None = None
+
+
 def parse_types(body: bytes) -> dict[str, MachineType]:
     """The machine types by name."""
-    types = {}
-    for row in cbor.maps(cbor.decode_map(body), "bindings"):
-        name = cbor.text(row, "sku")
-        types[name] = MachineType(
-            name=name,
-            size=Amount(cbor.number(row, "cores"), cbor.number(row, "cards"), cbor.number(row, "ramGb")),
-            cache_gb=cbor.number(row, "localGb"),
-            fetch_rate=cbor.number(row, "fetchGbPerS"),
-            price=cbor.number(row, "price"),
-            spot_price=cbor.number(row, "spotPrice"),
-            boot_s=cbor.number(row, "bootS"),
-            zones=cbor.texts(row, "branches"),
+    return {
+        row.name: MachineType(
+            name=row.name,
+            size=Amount(row.cpus, row.gpus, row.memory),
+            cache_gb=row.cache_gb,
+            fetch_rate=row.fetch_rate,
+            price=row.price,
+            spot_price=row.spot_price,
+            boot_s=row.boot_s,
+            zones=row.zones,
         )
-    return types
+        for row in cbor.decode(body, _Types).types
+    }
 
 
 def rental(name: str, type_name: str, zone: str, spot: bool, count: int) -> bytes:
@@ -39,7 +90,7 @@
 
 def parse_rented(body: bytes) -> tuple[str, ...]:
     """The machines that a rental request got."""
-    return cbor.texts(cbor.decode_map(body), "stacks")
+    return cbor.decode(body, _Rented).machines
 
 
 def deletion(names: list[str]) -> bytes:
@@ -54,16 +105,6 @@
 
 def parse_list(body: bytes) -> tuple[list[Listed], bool]:
     """One page of the machine list, and whether more follows."""
-    data = cbor.decode_map(body)
-    rows = [
-        Listed(
-            name=cbor.text(row, "ref"),
-            type=cbor.text(row, "binding"),
-            zone=cbor.text(row, "branch"),
-            spot=cbor.flag(row, "loaners"),
-            status=cbor.text(row, "status"),
-            age=cbor.number(row, "ageS"),
-        )
-        for row in cbor.maps(data, "stacks")
-    ]
-    return rows, cbor.flag(data, "truncated", False)
+    page = cbor.decode(body, _Machines)
+    rows = [Listed(row.name, row.type, row.zone, row.spot, row.status, row.age) for row in page.machines]
+    return rows, page.truncated is True
--- a/src/passrock/wire/state.py
+++ b/src/passrock/wire/state.py
@@ -48,6 +48,42 @@
 Write = Put | Delete
 
 
+class _Lease(msgspec.Struct):
+    loan: cbor.Count
+
+
+class _Revision(msgspec.Struct):
+    ledger: cbor.Count
+
+
+class _Conflict(msgspec.Struct):
+    failed: tuple[cbor.TextOrEmpty, ...]
+
+
+class _Entry(msgspec.Struct, rename={"value": "v"}):
+    key: cbor.Text
+    stamp: cbor.Count
+    value: object = None
+
+
+class _Page(msgspec.Struct):
+    entries: list[_Entry]
+    ledger: cbor.Count
+    truncated: bool | None = None
+
+
+class _Event(msgspec.Struct, rename={"put": "set", "value": "v"}):
+    stamp: cbor.Count
+    put: cbor.Text | None = None
+    drop: cbor.Text | None = None
+    value: object = None
+
+
+class _Changes(msgspec.Struct):
+    events: list[_Event]
+    ledger: cbor.Count
+
+
 def get_path(key: str) -> str:
     """The path of one key."""
     return f"/kv/{key}"
@@ -96,40 +132,42 @@
 
 def parse_lease(body: bytes) -> int:
     """The number of a new lease."""
-    return cbor.count(cbor.decode_map(body), "loan")
+    return cbor.decode(body, _Lease).loan
 
 
 def parse_entry(body: bytes) -> Entry:
     """One key."""
-    row = cbor.decode_map(body)
-    return Entry(cbor.text(row, "key"), row.get("v"), cbor.count(row, "stamp"))
+    return _entry(cbor.decode(body, _Entry))
 
 
 def parse_revision(body: bytes) -> int:
     """The store's revision in any answer that carries it."""
-    return cbor.count(cbor.decode_map(body), "ledger")
+    return cbor.decode(body, _Revision).ledger
 
 
 def parse_failed(body: bytes) -> tuple[str, ...]:
     """The keys whose conditions failed."""
-    return cbor.texts(cbor.decode_map(body), "failed")
+    return cbor.decode(body, _Conflict).failed
 
 
 def parse_page(body: bytes) -> tuple[list[Entry], bool, int]:
     """A page of keys, whether more follow, and the revision."""
-    data = cbor.decode_map(body)
-    rows = [
-        Entry(cbor.text(row, "key"), row.get("v"), cbor.count(row, "stamp")) for row in cbor.maps(data, "entries")
-    ]
-    return rows, cbor.flag(data, "truncated", False), cbor.count(data, "ledger")
+    page = cbor.decode(body, _Page)
+    return [_entry(row) for row in page.entries], page.truncated is True, page.ledger
 
 
 def parse_changes(body: bytes) -> tuple[list[Change], int]:
     """The changes of a watch and the revision up to which they go."""
-    data = cbor.decode_map(body)
-    changes = []
-    for row in cbor.maps(data, "events"):
-        present = row.get("set") is not None
-        key = cbor.text(row, "set" if present else "drop")
-        changes.append(Change(key, present, row.get("v"), cbor.count(row, "stamp")))
-    return changes, cbor.count(data, "ledger")
+    message = cbor.decode(body, _Changes)
+    return [_change(event) for event in message.events], message.ledger
+
+
+def _entry(row: _Entry) -> Entry:
+    return Entry(row.key, row.value, row.stamp)
+
+
+def _change(event: _Event) -> Change:
+    key = event.drop if event.put is None else event.put
+    if key is None:
+        raise cbor.MalformedBodyError("events: neither set nor drop")
+    return Change(key, event.put is not None, event.value, event.stamp)
--- a/src/passrock/wire/users.py
+++ b/src/passrock/wire/users.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import re
+from typing import Annotated
+
+import msgspec
 
 from passrock.core.model import Amount, Kind, Priority, Spec
 from passrock.wire import cbor
@@ -27,36 +30,80 @@
     return JOB_ID.match(value) is not None
 
 
+class _Submission(
+    msgspec.Struct,
+    rename={
+        "job": "ref",
+        "job_class": "shelfmark",
+        "team": "desk",
+        "kind": "format",
+        "priority": "precedence",
+        "tasks": "volumes",
+        "cpus": "cores",
+        "gpus": "cards",
+        "memory": "ramGb",
+        "image": "edition",
+        "image_gb": "imageGb",
+        "one_zone": "samePlace",
+        "spot": "loaners",
+        "estimate": "loanS",
+        "checkpoint": "bookmarkS",
+        "save": "shelveS",
+        "types": "bindings",
+        "zone": "branch",
+        "deadline": "dueS",
+    },
+):
+    job: cbor.Text
+    job_class: cbor.Text
+    team: cbor.Text
+    kind: cbor.Text
+    priority: cbor.Text
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=TASK_LIMIT)]
+    cpus: cbor.Number
+    gpus: cbor.Number
+    memory: cbor.Number
+    image: cbor.Text
+    image_gb: cbor.Number
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate: cbor.Number
+    checkpoint: cbor.Number
+    save: cbor.Number
+    types: tuple[cbor.TextOrEmpty, ...] | None = None
+    zone: cbor.Text | None = None
+    deadline: cbor.Number | None = None
+
+
 def parse_submission(body: bytes) -> Spec:
     """A submission; raises MalformedBodyError when anything in it is missing or wrong."""
-    data = cbor.decode_map(body)
-    job_id = cbor.text(data, "ref")
-    if not is_job_id(job_id):
+    message = cbor.decode(body, _Submission)
+    if not is_job_id(message.job):
         raise cbor.MalformedBodyError("ref: not a job id")
-    kind = KINDS.get(cbor.text(data, "format"))
-    priority = PRIORITIES.get(cbor.text(data, "precedence"))
+    kind = KINDS.get(message.kind)
+    priority = PRIORITIES.get(message.priority)
     if kind is None or priority is None:
         raise cbor.MalformedBodyError("format or precedence: unknown value")
-    types = None if data.get("bindings") is None else cbor.texts(data, "bindings")
     return Spec(
-        id=job_id,
-        job_class=cbor.text(data, "shelfmark"),
-        team=cbor.text(data, "desk"),
+        id=message.job,
+        job_class=message.job_class,
+        team=message.team,
         kind=kind,
         priority=priority,
-        tasks=cbor.count(data, "volumes", 1, TASK_LIMIT),
-        need=Amount(cbor.number(data, "cores"), cbor.number(data, "cards"), cbor.number(data, "ramGb")),
-        image=cbor.text(data, "edition"),
-        image_gb=cbor.number(data, "imageGb"),
-        types=types,
-        zone=cbor.opt_text(data, "branch"),
-        one_zone=cbor.flag(data, "samePlace"),
-        spread=cbor.flag(data, "spread"),
-        spot=cbor.flag(data, "loaners"),
-        estimate=cbor.number(data, "loanS"),
-        checkpoint=cbor.number(data, "bookmarkS"),
-        save=cbor.number(data, "shelveS"),
-        deadline=cbor.opt_number(data, "dueS"),
+        tasks=message.tasks,
+        need=Amount(message.cpus, message.gpus, message.memory),
+        image=message.image,
+        image_gb=message.image_gb,
+        types=message.types,
+        zone=message.zone,
+        one_zone=message.one_zone,
+        spread=message.spread,
+        spot=message.spot,
+        estimate=message.estimate,
+        checkpoint=message.checkpoint,
+        save=message.save,
+        deadline=message.deadline,
     )
 
 
--- a/src/passrock/wire/workers.py
+++ b/src/passrock/wire/workers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from passrock.core.fleet import Command, Op, Report, TaskReport, TaskState
 from passrock.wire import cbor
 
@@ -27,6 +29,39 @@
 OPS = {Op.START: "launch", Op.STOP: "halt", Op.FORGET: "clear"}
 
 
+class _Task(msgspec.Struct, rename={"name": "volume", "attempt": "renewal", "reason": "remark", "saved": "kept"}):
+    name: cbor.Text
+    attempt: cbor.Count
+    status: cbor.Text
+    reason: object = None
+    saved: object = None
+
+
+class _Report(
+    msgspec.Struct,
+    rename={
+        "machine": "stack",
+        "type": "binding",
+        "zone": "branch",
+        "spot": "loaners",
+        "session": "shift",
+        "seq": "accession",
+        "token": "warrant",
+        "notice": "recallS",
+        "tasks": "volumes",
+    },
+):
+    machine: cbor.Text
+    type: cbor.Text
+    zone: cbor.Text
+    spot: bool
+    session: cbor.Count
+    seq: cbor.Count
+    token: cbor.Count
+    tasks: list[_Task]
+    notice: cbor.Number | None = None
+
+
 def split_task(name: str) -> tuple[str, int]:
     """A task's name as its job and number."""
     job, slash, index = name.rpartition("/")
@@ -37,36 +72,31 @@
 
 def parse_report(body: bytes) -> Report:
     """A check-in; raises MalformedBodyError on anything unlike one."""
-    data = cbor.decode_map(body)
-    tasks = []
-    for row in cbor.maps(data, "volumes"):
-        job, index = split_task(cbor.text(row, "volume"))
-        state = STATES.get(cbor.text(row, "status"))
-        if state is None:
-            raise cbor.MalformedBodyError("status: unknown value")
-        tasks.append(
-            TaskReport(
-                job=job,
-                index=index,
-                attempt=cbor.count(row, "renewal"),
-                state=state,
-                why=REASONS.get(str(row.get("remark")), ""),
-                saved=row.get("kept") is True,
-            )
-        )
+    message = cbor.decode(body, _Report)
+    cbor.check_counts(message.session, message.seq, message.token)
     return Report(
-        machine=cbor.text(data, "stack"),
-        type=cbor.text(data, "binding"),
-        zone=cbor.text(data, "branch"),
-        spot=cbor.flag(data, "loaners"),
-        session=cbor.count(data, "shift"),
-        seq=cbor.count(data, "accession"),
-        token=cbor.count(data, "warrant"),
-        notice=cbor.opt_number(data, "recallS"),
-        tasks=tasks,
+        machine=message.machine,
+        type=message.type,
+        zone=message.zone,
+        spot=message.spot,
+        session=message.session,
+        seq=message.seq,
+        token=message.token,
+        notice=message.notice,
+        tasks=[_task_report(task) for task in message.tasks],
     )
 
 
+def _task_report(task: _Task) -> TaskReport:
+    state = STATES.get(task.status)
+    if state is None:
+        raise cbor.MalformedBodyError("status: unknown value")
+    cbor.check_counts(task.attempt)
+    job, index = split_task(task.name)
+    reason = REASONS.get(task.reason, "") if isinstance(task.reason, str) else ""
+    return TaskReport(job, index, task.attempt, state, reason, task.saved is True)
+
+
 def answer(token: int, commands: list[Command]) -> bytes:
     """The body of a 200."""
     slips = []
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -49,6 +49,7 @@
         body(edition="x" * 500),
         body(dueS="soon"),
         body(loanS=...),
+        cbor2.dumps({**GOOD, 7: "not text"}),
     ],
 )
 def test_malformed_submissions(raw):
@@ -103,6 +104,12 @@
         {"volumes": [{"volume": "wk-1/x", "renewal": 1, "status": "running"}]},
         {"volumes": [{"volume": "wk-1/1", "renewal": 1, "status": "asleep"}]},
         {"recallS": "soon"},
+        {"recallS": float("nan")},
+        {"accession": 2**64},
+        {"accession": True},
+        {"loaners": 1},
+        {"volumes": [{"volume": "wk-1/1", "renewal": 2**64, "status": "running"}]},
+        {8: "not text"},
     ],
 )
 def test_malformed_reports(change):
