--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -70,6 +70,7 @@
         self.strays: set[tuple[str, int]] = set()
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
+        self._ranks: dict[str, tuple[bool, bool, int]] = {}  # of this pass, by job
         self.aims = aims
         self.patience = fleet.report_s * 1.5  # until a task without anything to save has made room
 
@@ -86,6 +87,7 @@
     def find_guaranteed(self) -> None:
         """Which jobs fit into their team's guarantee along with all its earlier unfinished jobs."""
         self.guaranteed = set()
+        self._ranks = {}
         asked: dict[str, Amount] = {}
         for job in sorted(self.book.jobs.values(), key=lambda job: (job.submitted, job.spec.id)):
             team = self.teams.get(job.spec.team)
@@ -103,7 +105,11 @@
         the moment instead let teams take the same machines from each other again and again.
         """
         spec = job.spec
-        return spec.priority is Priority.PRODUCTION, spec.id in self.guaranteed, int(spec.priority)
+        rank = self._ranks.get(spec.id)
+        if rank is None:
+            rank = spec.priority is Priority.PRODUCTION, spec.id in self.guaranteed, int(spec.priority)
+            self._ranks[spec.id] = rank
+        return rank
 
     def queue(self, now: float) -> list[Job]:
         """Jobs with tasks that may be placed now, most urgent first."""
--- a/src/passrock/core/preemption.py
+++ b/src/passrock/core/preemption.py
@@ -214,25 +214,27 @@
         for live in lives:
             if live.stop is not None:  # on its way out already
                 room = room + live.job.spec.need
-        choice = sorted(
-            (
-                live
-                for live in lives
-                if live.stop is None
-                and (not elastic_only or self.is_elastic(live.job))
-                and self.may_stop(live, job, now)
-            ),
-            key=lambda live: (self.placer.rank(live.job), self.loss(live, now), live.key),
-        )
+        stoppable = [
+            live
+            for live in lives
+            if live.stop is None and (not elastic_only or self.is_elastic(live.job)) and self.may_stop(live, job, now)
+        ]
+        most = room
+        for live in stoppable:
+            most = most + live.job.spec.need
+        if not need.fits(most):
+            return None
+        choice = [(self.placer.rank(live.job), self.loss(live, now), live.key, live) for live in stoppable]
+        choice.sort(key=lambda one: one[:3])
         total = 0.0
         stopped: list[Live] = []
-        for live in choice:
+        for _, loss, _, live in choice:
             if need.fits(room):
                 break
             room = room + live.job.spec.need
-            total += self.loss(live, now)
+            total += loss
             stopped.append(live)
-        return (total, stopped) if need.fits(room) else None
+        return total, stopped
 
 
 def fetch_of(job: Job, plan: list[tuple[Machine, list[Live]]]) -> float:
