Renting looks at whole jobs: a gang of more than 64 tasks could wait for ever on an empty fleet

plan_rentals looked at 64 tasks of a job. For a larger gang it rented 64 machines and then found them enough; an array had room rented for 64 tasks at a time, a boot apart. Counts are now reckoned by division and a search for the team's limit.

--- a/src/passrock/controller/rentals.py
+++ b/src/passrock/controller/rentals.py
@@ -9,13 +9,13 @@
 from passrock.controller import keys
 from passrock.controller.leadership import Leadership
 from passrock.core.fleet import Fleet, Listed, Machine
-from passrock.core.renting import Market, Offer
+from passrock.core.renting import MOST_PER_RENTAL, Market, Offer
 from passrock.io.clock import steady
 from passrock.io.cloud import CloudClient, CloudError, NoCapacityError
 from passrock.io.state import Committed, StateClient, StateError
 from passrock.logs import debug, info
 from passrock.settings import Settings
-from passrock.wire.cloud import MOST_PER_DELETE, MOST_PER_RENTAL
+from passrock.wire.cloud import MOST_PER_DELETE
 from passrock.wire.state import Delete, Entry, Put
 
 RETRY_S = 1.0
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -325,6 +325,8 @@
         started = self.placer.run(now)
         for live in started:
             info("place", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=live.machine)
+        if self.placer.cut_short:
+            self.poke()
         if planning:
             self._preempt(self.placer.waiting, now)
             self._rent(self.placer.waiting, now)
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable
 
 import msgspec
@@ -195,8 +196,9 @@
         value = entry.value
         spec = value["s"]
         done, running = int(value["d"], 16).bit_count(), len(value["l"])
-        if spec["n"] > self.chunk_size:
-            for chunk in self.replica.with_prefix(f"{keys.CHUNK}{job_id}/"):
+        for number in range(1, math.ceil(spec["n"] / self.chunk_size)):
+            chunk = self.replica.get(keys.chunk(job_id, number))
+            if chunk is not None:
                 done += int(chunk.value["d"], 16).bit_count()
                 running += len(chunk.value["l"])
         return Known("running" if running else "queued", done, running)
--- a/src/passrock/core/cancellations.py
+++ b/src/passrock/core/cancellations.py
@@ -9,6 +9,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Sequence
+from itertools import islice
 from threading import Lock
 
 from passrock.core.fleet import DRIFT
@@ -70,8 +71,8 @@
         """Up to ``most`` entries from number ``start`` on, and the number of the first of them."""
         with self._lock:
             start = max(self.first, start)
-            rows = list(self._order) if start == self.first else list(self._order)[start - self.first :]
-            return start, [job_id for job_id, _ in rows[:most]]
+            offset = start - self.first
+            return start, [job_id for job_id, _ in islice(self._order, offset, offset + most)]
 
 
 class PeerKnowledge:
--- a/src/passrock/core/lost_workers.py
+++ b/src/passrock/core/lost_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Collection, Iterable
 
 import msgspec
@@ -30,13 +31,14 @@
         self.many_s = silent_s + report_s  # and one of many: by then the leader has noticed that they are missing
         self.leader: str | None = None  # the one they have lost,
         self.leader_term = 0  # and its term
-        self._visits: dict[str, Visit] = {}
+        self._visits: OrderedDict[str, Visit] = OrderedDict()  # the one that came last is at the end
 
     def note(self, machine: str, term: int, leader: str | None, leader_term: int, now: float) -> None:
         """A worker that knows ``term`` came here, while ``leader`` is the last one known of ``leader_term``."""
         self._forget(now)
         visit = self._visits.setdefault(machine, Visit(now, now, term))
         visit.last, visit.term = now, term
+        self._visits.move_to_end(machine)
         if leader is not None and term >= leader_term > self.leader_term:
             self.leader, self.leader_term = leader, leader_term
 
@@ -58,8 +60,10 @@
         return next_in_order([name for name in followers if name != self.leader], own)
 
     def _forget(self, now: float) -> None:
-        gone = [name for name, visit in self._visits.items() if now - visit.last > self.remembered_s]
-        for name in gone:
+        while self._visits:
+            name, visit = next(iter(self._visits.items()))
+            if now - visit.last <= self.remembered_s:
+                return
             del self._visits[name]
 
 
--- a/src/passrock/core/model.py
+++ b/src/passrock/core/model.py
@@ -51,6 +51,15 @@
             and self.memory <= room.memory + EPSILON
         )
 
+    def count_in(self, room: Amount, most: int) -> int:
+        """How many of this amount fit into ``room`` together, up to ``most``."""
+        counts = [
+            int((theirs + EPSILON) / mine)
+            for mine, theirs in ((self.cpus, room.cpus), (self.gpus, room.gpus), (self.memory, room.memory))
+            if mine > 0
+        ]
+        return max(0, min([most, *counts]))
+
     def share_of(self, whole: Amount) -> float:
         """The largest part that this amount takes of any resource of ``whole``."""
         parts = [
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -18,7 +18,7 @@
 DEAR_COST = 40.0
 STRAND_COST = 40.0
 AVOID_COST = 1000.0
-ARRAY_BATCH = 64
+ARRAY_BATCH = 64  # tasks of one job in a pass, so that no pass takes long; the next pass follows at once
 MANY = 1 << 30
 LONG_S = 3600.0  # for what ends when its user says so
 
@@ -64,6 +64,7 @@
         self.usable: list[Machine] = []
         self.kinds: dict[str, MachineType] = {}
         self.open: list[Machine] = []  # usable ones with room
+        self.cut_short = False  # whether the last pass left tasks of an array that it would have placed
         self.waiting: list[Job] = []  # what the last pass left, most urgent first
         self.waits: dict[Amount, dict[str, float]] = {}  # room_in of each machine, as far as this pass has asked
         self.hopeless: dict[Any, int] = {}  # kinds of tasks with the least number that found no room
@@ -138,6 +139,7 @@
         """Start what fits; returns the new attempts. What still waits afterwards is in ``waiting``."""
         self.waits = {}
         self.rooms = Rooms()
+        self.cut_short = False
         self.find_guaranteed()
         self.holds = {name: hold for name, hold in self.holds.items() if hold.until > now}
         self.strays = set()
@@ -276,6 +278,7 @@
                 counts[machine.zone] = counts.get(machine.zone, 0) + 1
             started.append(self.book.start(job, index, machine, job.attempt_for(index), now))
             self.again(job, machine, heap)
+        self.cut_short = self.cut_short or len(started) == ARRAY_BATCH
         job.advance()
         return started
 
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+
 import msgspec
 
 from passrock.core.aims import Aims
@@ -10,7 +12,7 @@
 from passrock.core.model import NOTHING, Amount, Kind, MachineType, Team
 
 LEAST_CHARGED_S = 60.0  # the cloud charges a deleted machine for at least this long
-TASKS_SEEN = 64
+MOST_PER_RENTAL = 50  # machines that one request can rent
 
 
 class Offer(msgspec.Struct, frozen=True):
@@ -79,12 +81,14 @@
 def in_reach(job: Job, teams: dict[str, Team], used: dict[str, Amount]) -> int:
     """How many of the job's waiting tasks the team's limit would let run, given planned use."""
     team = teams[job.spec.team]
-    count = min(job.waiting, TASKS_SEEN)
+    planned = used.get(team.name, NOTHING)
+
+    def is_over(count: int) -> bool:
+        return not team.within_limit(planned + job.spec.need.times(count))
+
     if job.spec.kind is Kind.GANG:
-        return count if team.within_limit(used.get(team.name, NOTHING) + job.spec.need.times(count)) else 0
-    while count and not team.within_limit(used.get(team.name, NOTHING) + job.spec.need.times(count)):
-        count -= 1
-    return count
+        return 0 if is_over(job.waiting) else job.waiting
+    return bisect_left(range(1, job.waiting + 1), True, key=is_over)
 
 
 def plan_rentals(
@@ -135,19 +139,24 @@
     need = job.spec.need
     added: list[Bin] = []
     for one in sorted((one for one in bins if _suits(job, one, None)), key=lambda one: one.room.gpus):
-        while count and need.fits(one.room):
-            one.room = one.room - need
-            count -= 1
+        if not count:
+            return added
+        count -= _fill(one, need, count)
     offers = market.offers(job, aims, now) if count else []
-    while count and offers:
+    while count and offers and len(added) < MOST_PER_RENTAL:
         one = Bin(offers[0], market.types[offers[0].type].size)
-        while count and need.fits(one.room):
-            one.room = one.room - need
-            count -= 1
+        count -= _fill(one, need, count)
         added.append(one)
     return added
 
 
+def _fill(one: Bin, need: Amount, most: int) -> int:
+    """Use a bin for up to ``most`` tasks; returns how many."""
+    count = need.count_in(one.room, most)
+    one.room = one.room - need.times(count)
+    return count
+
+
 def _gang_bins(
     job: Job, count: int, bins: list[Bin], rooms: list[Bin], market: Market, aims: Aims, now: float
 ) -> list[Bin]:
@@ -166,7 +175,7 @@
             if not missing:
                 break
             if zone is None or one.offer.zone == zone:
-                slots = _slots(one, need, missing)
+                slots = need.count_in(one.room, missing)
                 takes.append((one, slots))
                 missing -= slots
         if missing and not here:
@@ -185,23 +194,11 @@
         missing = best[3]
         while missing:
             new = Bin(offer, size)
-            while missing and need.fits(new.room):
-                new.room = new.room - need
-                missing -= 1
+            missing -= _fill(new, need, missing)
             added.append(new)
     return added
 
 
-def _slots(one: Bin, need: Amount, most: int) -> int:
-    """How many tasks fit into a bin that has room for one, up to ``most``."""
-    slots = 1
-    room = one.room - need
-    while slots < most and need.fits(room):
-        room = room - need
-        slots += 1
-    return slots
-
-
 def plan_returns(fleet: Fleet, book: Book, patience: dict[str, float], now: float) -> list[Machine]:
     """Idle machines that have waited long enough for work.
 
--- a/src/passrock/wire/cloud.py
+++ b/src/passrock/wire/cloud.py
@@ -12,7 +12,6 @@
 RENTALS_PATH = "/rentals"
 DELETE_PATH = "/rentals/delete"
 PAGE = 500
-MOST_PER_RENTAL = 50
 MOST_PER_DELETE = 100
 
 
