A pass of placement costs what changed, not what there is

Standings are reckoned again only when what jobs ask for has changed; machines without room for the smallest waiting task are left out before any amount is made for them, in placing and in planning of renting; zones are listed once a pass; an array that finds no machine doesn't list its tasks. tests/scale.py profiles the leader's work alone.

--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from passrock.core.model import NOTHING, Amount, MachineType, Spec
+from passrock.core.model import EPSILON, NOTHING, Amount, MachineType, Spec
 
 # Two controllers' clocks may differ by 0.05 % each way; leases are waited out with this factor.
 DRIFT = 1.002
@@ -127,6 +127,16 @@
             free = free - amount
         return free
 
+    def has_room(self, need: Amount) -> bool:
+        """Whether ``need`` fits; asked of every machine in every pass, and so without making amounts."""
+        size, used = self.type.size, self.used
+        return (
+            need.gpus <= size.gpus - used.gpus + EPSILON
+            and need.cpus <= size.cpus - used.cpus + EPSILON
+            and need.memory <= size.memory - used.memory + EPSILON
+            and (not self.strays or need.fits(self.room))
+        )
+
     @property
     def hears(self) -> bool:
         """Whether it is known that answers reach the worker, and not only its reports the leader."""
@@ -292,11 +302,11 @@
         """Whether tasks may be placed on the machine now."""
         return (
             machine.up
-            and not machine.deleting
+            and now - machine.heard <= self.report_s * SILENT_REPORTS
             and machine.hears
+            and not machine.deleting
             and machine.notice_until is None
             and machine.blocked_until <= now
-            and now - machine.heard <= self.report_s * SILENT_REPORTS
         )
 
     def lease_over(self, machine: Machine, now: float, fenced_at: float | None) -> bool:
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -231,6 +231,7 @@
         self.jobs: dict[str, Job] = {}
         self.held: dict[str, dict[tuple[str, int], Live]] = {}
         self.usage: dict[str, Amount] = {}
+        self.demand_version = 0  # counts the changes of what jobs still ask for
         self.dirty: dict[tuple[str, int], None] = {}
         self.finishing: dict[str, None] = {}
         self.cancelled: dict[str, Job] = {}  # those of which tasks may still be somewhere, or that await their end
@@ -246,6 +247,7 @@
         spec = decode_spec(record["s"])
         job = Job(spec, record["at"], self.chunk_size, now - max(0.0, today - record["at"]))
         self.jobs[spec.id] = job
+        self.demand_version += 1
         self.load_chunk(job, 0, record, stamp)
         return job
 
@@ -256,6 +258,7 @@
         chunk.done = int(record["d"], 16)
         chunk.stamp = stamp
         job.done_count += chunk.done.bit_count()
+        self.demand_version += 1
         for text, (attempt, machine, session) in record["l"].items():
             live = Live(job, int(text), attempt, machine, session, mine=False)
             chunk.live[live.index] = live
@@ -370,6 +373,7 @@
             if not chunk.done & bit:
                 chunk.done |= bit
                 job.done_count += 1
+                self.demand_version += 1
                 self._touch(job, chunk)
             job.requeued.discard(index)
         self._maybe_finish(job)
@@ -377,6 +381,7 @@
     def cancel(self, job: Job, at: float) -> None:
         """The user has been told that the job is cancelled, at ``at`` or later."""
         job.cancelled = True
+        self.demand_version += 1
         self.cancelled[job.spec.id] = job
         job.cancelled_at = min(job.cancelled_at, at)
         for live in list(job.lives()):
@@ -393,6 +398,7 @@
     def remove(self, job: Job) -> None:
         """The job's final state is committed."""
         self.jobs.pop(job.spec.id, None)
+        self.demand_version += 1
         self.cancelled.pop(job.spec.id, None)
         self.finishing.pop(job.spec.id, None)
         for number in job.chunks:
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -62,6 +62,7 @@
         self.holds: dict[str, Hold] = {}
         self.rooms = Rooms()
         self.usable: list[Machine] = []
+        self.zones: dict[str, None] = {}  # of usable machines
         self.kinds: dict[str, MachineType] = {}
         self.open: list[Machine] = []  # usable ones with room
         self.cut_short = False  # whether the last pass left tasks of an array that it would have placed
@@ -71,7 +72,8 @@
         self.strays: set[tuple[str, int]] = set()
         self.stray_use: dict[str, Amount] = {}
         self.guaranteed: set[str] = set()
-        self._ranks: dict[str, tuple[bool, bool, int]] = {}  # of this pass, by job
+        self._ranks: dict[str, tuple[bool, bool, int]] = {}  # by job, as of the same version
+        self._guaranteed_as_of = -1
         self.aims = aims
         self.patience = fleet.report_s * 1.5  # until a task without anything to save has made room
 
@@ -87,6 +89,9 @@
 
     def find_guaranteed(self) -> None:
         """Which jobs fit into their team's guarantee along with all its earlier unfinished jobs."""
+        if self._guaranteed_as_of == self.book.demand_version:
+            return
+        self._guaranteed_as_of = self.book.demand_version
         self.guaranteed = set()
         self._ranks = {}
         asked: dict[str, Amount] = {}
@@ -145,6 +150,7 @@
         self.strays = set()
         self.stray_use = {}
         self.usable = []
+        self.zones = {}
         self.kinds = {}
         started: list[Live] = []
         for machine in self.fleet.machines.values():
@@ -152,6 +158,7 @@
                 self._count_strays(machine)
             if self.fleet.usable(machine, now):
                 self.usable.append(machine)
+                self.zones[machine.zone] = None
                 self.kinds[machine.type.name] = machine.type
         self.waiting = self.queue(now)
         if not self.usable or not self.waiting:
@@ -177,7 +184,7 @@
     def _find_open(self) -> None:
         """The machines with room for the smallest waiting task; on a full fleet that is a handful."""
         least = least_need(self.waiting)
-        self.open = [machine for machine in self.usable if least.fits(self.rooms.of(machine))]
+        self.open = [machine for machine in self.usable if machine.has_room(least)]
 
     def allowed_now(self, job: Job, count: int) -> bool:
         """Whether the team's limit has room for ``count`` more tasks, possibly-there ones counted."""
@@ -257,6 +264,13 @@
         if not self.allowed_now(job, 1):
             return started
         heap = self.by_cost(job, self.fixed_zone(job, counts), now)
+        may_differ = bool(counts) or (
+            spec.spot and spec.kind is Kind.ARRAY
+        )  # what stops this job may not stop its kind
+        if not heap:
+            if not may_differ:
+                self.hopeless[kind] = 1
+            return started
         cap = spec.zone_cap()
         for index in job.next_waiting(ARRAY_BATCH):
             if (spec.id, index) in self.strays:
@@ -269,7 +283,7 @@
             ):
                 heappop(heap)
             if not heap:
-                if not counts and not (spec.spot and spec.kind is Kind.ARRAY):
+                if not counts and not may_differ:
                     self.hopeless[kind] = 1
                 break
             machine = heappop(heap)[2]
@@ -290,7 +304,7 @@
         """The zones to try for a gang; None stands for all together."""
         if not job.spec.one_zone:
             return [None]
-        return list(dict.fromkeys(machine.zone for machine in self.usable))
+        return list(self.zones)
 
     def place_gang(self, job: Job, now: float) -> list[Live]:
         """All tasks of a gang or none."""
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -104,10 +104,13 @@
         for m in fleet.machines.values()
         if (not m.up and not m.deleting) or (m.name not in book.held and fleet.absent(m, now))
     ]
-    rooms = [Bin(Offer(m.type.name, m.zone, m.spot), m.room) for m in fleet.machines.values() if fleet.usable(m, now)]
     # whatever has no room for the smallest waiting task is left out: on a full fleet that is nearly all of it
     least = least_need(queue)
-    rooms = [one for one in rooms if least.fits(one.room)]
+    rooms = [
+        Bin(Offer(m.type.name, m.zone, m.spot), m.room)
+        for m in fleet.machines.values()
+        if m.has_room(least) and fleet.usable(m, now)
+    ]
     used = dict(book.usage)
     wanted: dict[Offer, int] = {}
     for job in queue:
--- a/tests/scale.py
+++ b/tests/scale.py
@@ -22,6 +22,7 @@
 from standins.world import World  # noqa: E402
 
 SPENT: dict[str, list[float]] = {}
+PROFILE = cProfile.Profile()
 
 
 def timed(owner, name):
@@ -38,6 +39,20 @@
     setattr(owner, name, outer)
 
 
+def profiled(owner, name):
+    """Profile the calls of a method, and nothing of the simulated world round it."""
+    inner = getattr(owner, name)
+
+    def outer(*args, **kwargs):
+        PROFILE.enable()
+        try:
+            return inner(*args, **kwargs)
+        finally:
+            PROFILE.disable()
+
+    setattr(owner, name, outer)
+
+
 def large_job(world, number):
     """Gangs of whole machines, wide arrays and replicas, more than there is room for."""
     rng = world.rng
@@ -82,6 +97,9 @@
     parser.add_argument("--seconds", type=float, default=120.0)
     parser.add_argument("--profile", action="store_true")
     options = parser.parse_args()
+    if options.profile:
+        for owner, name in ((Node, "_checkin"), (Term, "tick")):
+            profiled(owner, name)
     for owner, names in (
         (Node, ("_checkin",)),
         (Term, ("checkin", "tick", "_preempt", "_rent")),
@@ -91,11 +109,7 @@
     ):
         for name in names:
             timed(owner, name)
-    profile = cProfile.Profile()
-    if options.profile:
-        profile.enable()
     done = virtual_loop.run(main(options.machines, options.seconds))
-    profile.disable()
     print(f"machines {len(done.workers)}, starts {done.checker.starts}, broken {done.checker.broken}")
     for what, times in SPENT.items():
         total = sum(times)
@@ -104,7 +118,7 @@
             f" longest {1e3 * max(times):6.1f} ms, {100 * total / options.seconds:5.1f} % of a core"
         )
     if options.profile:
-        pstats.Stats(profile).sort_stats("tottime").print_stats(40)
+        pstats.Stats(PROFILE).sort_stats("tottime").print_stats(40)
 
 
 if __name__ == "__main__":
