--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -10,8 +10,8 @@
 MACHINES = 20
 SETTLED_S = 90.0  # by then surplus machines have gone back and all records are written
 QUIET_S = 60.0
-# A minute of three controllers at rest: renewals of the leader's key four times in its life, a watch each 4 s, a look at
-# the state service by who has heard nothing of it for half of that life, and a read for what six users ask each 5 s.
+# A minute of three controllers at rest: renewals of the leader's key four times in its life, a watch each 4 s, a look
+# at the state service by who has heard nothing of it for half of that life, and a read for what six users ask in 5 s.
 STATE_REQUESTS = 360
 CALLS_A_REPORT = 60  # Python functions called for an unchanged report of two tasks, parsing and answer included
 CALLS_A_PASS = 4 * MACHINES  # and for a pass of placement over a fleet on which nothing waits
