--- /dev/null
+++ b/src/passrock/controller/checkin_handler.py
@@ -0,0 +1,106 @@
+"""Check-ins of workers: what the leader answers, and how long an answer waits for new launches."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+
+from passrock.controller.binding_rounds import BindingRounds
+from passrock.controller.commit_queue import CommitQueue
+from passrock.controller.evaluations import Evaluations
+from passrock.controller.leadership import Leadership
+from passrock.core.checkin import Checkins
+from passrock.core.fleet import Command, Fleet, Machine, Report
+from passrock.core.jobs import Book
+from passrock.core.preemption import drain
+from passrock.core.renting import Market
+from passrock.io.clock import steady
+from passrock.logs import info
+from passrock.settings import Settings
+
+
+class CheckinHandler:
+    """Answers check-ins once the leader's records are loaded."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        leadership: Leadership,
+        book: Book,
+        fleet: Fleet,
+        market: Market,
+        commit_queue: CommitQueue,
+        rounds: BindingRounds,
+        evaluations: Evaluations,
+    ) -> None:
+        self.settings = settings
+        self.leadership = leadership
+        self.book = book
+        self.fleet = fleet
+        self.market = market
+        self.commit_queue = commit_queue
+        self.rounds = rounds
+        self.evaluations = evaluations
+        self.checkins = Checkins(book, fleet, leadership.term)
+
+    def handle(self, report: Report) -> list[Command] | Awaitable[list[Command] | None] | None:
+        """Commands for a worker, whose lease is renewed by the answer; None when it must get no answer.
+
+        An unchanged report takes a short path: placing is the work of evaluations. When the report makes room,
+        its answer waits for the next evaluation and commit, for a small part of the report interval, so that
+        what is placed there goes into it.
+        """
+        now = steady()
+        kind = self.market.types.get(report.type)
+        if kind is None:
+            return None  # nothing is known of such a machine's tasks: no renewal that isn't noted
+        known = self.fleet.machines.get(report.machine)
+        was_usable = known is not None and known.up and known.confirmed
+        machine = self.fleet.observe(report, kind, now)
+        if machine is None:
+            return None  # a late copy, or of a machine that is gone: an answer could only renew by mistake
+        commands = self.checkins.handle(machine, report, now, launch=self.leadership.may_launch())
+        if self.checkins.changed:
+            self._log_changes(machine, now)
+            self.evaluations.request()
+        if self.book.dirty or self.book.finishing:
+            self.commit_queue.wake.set()
+        if machine.deleting:
+            return None  # its deletion may take long: unanswered, its lease ends as well
+        machine.answered = now
+        if machine.notice_until is not None:
+            drain(self.book, machine.name)
+        if machine.confirmed and not was_usable:
+            self.rounds.bring_forward()
+            info("machine_up", machine=machine.name, zone=machine.zone, spot=machine.spot)
+            self.evaluations.request()
+        lives = self.book.held.get(machine.name)
+        if self.checkins.changed or (
+            lives is not None and any(live.sent_seq is None and live.mine for live in lives.values())
+        ):
+            return self._with_launches(machine, report, commands, self.evaluations.count)
+        return commands
+
+    def _log_changes(self, machine: Machine, now: float) -> None:
+        for live in self.checkins.begun:
+            after = round(now - live.placed_at, 1) if live.mine else "?"
+            info("task_runs", job=live.job.spec.id, task=live.index, machine=machine.name, after_s=after)
+        for live, why in self.checkins.exits:
+            job = live.job.spec.id
+            info("task_end", job=job, task=live.index, attempt=live.attempt, machine=machine.name, why=why)
+
+    async def _with_launches(
+        self, machine: Machine, report: Report, commands: list[Command], before: int
+    ) -> list[Command] | None:
+        end = steady() + self.settings.report_s / 4
+        while steady() < end:
+            lives = self.book.held.get(machine.name, {}).values()
+            if self.evaluations.count > before and all(map(self.book.committed, lives)):
+                break
+            if not await self.evaluations.progress(end - steady()):
+                break
+        if machine.deleting or self.fleet.machines.get(machine.name) is not machine:
+            return None
+        if self.leadership.may_launch():
+            commands += self.checkins.launches(machine, report)
+        machine.answered = steady()
+        return commands
--- a/src/passrock/controller/failure_detector.py
+++ b/src/passrock/controller/failure_detector.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable
 
 from passrock.controller.leadership import Leadership
 from passrock.controller.rentals import Rentals
 from passrock.core.fleet import WORKER_WAIT_S, Fleet, Machine
 from passrock.core.jobs import Book
 from passrock.core.model import Priority
+from passrock.core.preemption import drain
 from passrock.logs import info
 from passrock.settings import Settings
 
@@ -30,14 +30,12 @@
         fleet: Fleet,
         leadership: Leadership,
         rentals: Rentals,
-        drain: Callable[[str], None],
     ) -> None:
         self.settings = settings
         self.book = book
         self.fleet = fleet
         self.leadership = leadership
         self.rentals = rentals
-        self.drain = drain
         self.given_up: deque[float] = deque()  # when machines were given up for silent, over the last lease
 
     def evaluate(self, now: float) -> None:
@@ -84,7 +82,7 @@
         if failures <= 1:
             return
         info("machine_faulty", machine=machine.name, jobs=failures)
-        self.drain(machine.name)
+        drain(self.book, machine.name)
         if machine.name not in self.book.held:
             self.rentals.delete(machine)
 
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -49,7 +49,6 @@
         self.settings = settings
         self.state = state
         self.cloud = cloud
-        self.rng = rng
         self.market = Market()
         self.replica = Replica(state)
         self.cancellations = Cancellations(settings.cancel_s * KEEP_CANCELLED)
@@ -88,7 +87,6 @@
                 self.cancellations,
                 self.leadership,
                 self.market,
-                random.Random(self.rng.random()),
             )
             self.term.start()
 
@@ -149,7 +147,7 @@
             return Response(421, worker_wire.redirect(self.leadership.redirect(report.machine, report.token)))
         if self.term is None or not self.term.ready:
             return Response(200, worker_wire.answer(self.leadership.term, self._stops(report)))
-        commands = self.term.checkin(report)
+        commands = self.term.checkins.handle(report)
         if commands is None:
             return Response(503)
         if isinstance(commands, list):
--- a/src/passrock/core/preemption.py
+++ b/src/passrock/core/preemption.py
@@ -7,7 +7,7 @@
 
 from passrock.core.aims import fetch_time
 from passrock.core.fleet import Machine, TaskState
-from passrock.core.jobs import Job, Live
+from passrock.core.jobs import Book, Job, Live
 from passrock.core.model import NOTHING, Kind, Priority
 from passrock.core.placement import ARRAY_BATCH, Hold, Placer
 
@@ -247,3 +247,10 @@
     if live.stop is None:
         can_save = live.job.spec.checkpoint > 0 and live.state is TaskState.RUNNING
         live.stop = max(patience, live.job.spec.save) if can_save else 0.0
+
+
+def drain(book: Book, machine: str) -> None:
+    """Let everything on a machine save and end, gangs as a whole."""
+    for live in list(book.held.get(machine, {}).values()):
+        for mate in list(live.job.lives()) if live.job.spec.kind is Kind.GANG else [live]:
+            stop_softly(mate, mate.job.spec.save)
--- a/tests/scale.py
+++ b/tests/scale.py
@@ -14,7 +14,9 @@
 sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parents[1] / "src")]
 
 from passrock.controller.binding_rounds import BindingRounds  # noqa: E402
+from passrock.controller.checkin_handler import CheckinHandler  # noqa: E402
 from passrock.controller.failure_detector import FailureDetector  # noqa: E402
+from passrock.controller.fleet_sizing import FleetSizing  # noqa: E402
 from passrock.controller.node import Node  # noqa: E402
 from passrock.controller.term import Term  # noqa: E402
 from passrock.core.placement import Placer  # noqa: E402
@@ -98,11 +100,13 @@
     parser.add_argument("--profile", action="store_true")
     options = parser.parse_args()
     if options.profile:
-        for owner, name in ((Node, "_checkin"), (Term, "tick")):
+        for owner, name in ((Node, "_checkin"), (Term, "evaluate")):
             profiled(owner, name)
     for owner, names in (
         (Node, ("_checkin",)),
-        (Term, ("checkin", "tick", "_preempt", "_rent")),
+        (CheckinHandler, ("handle",)),
+        (Term, ("evaluate", "_preempt")),
+        (FleetSizing, ("adjust",)),
         (BindingRounds, ("_run",)),
         (Placer, ("run",)),
         (FailureDetector, ("evaluate",)),
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -55,9 +55,11 @@
         return await handle(method, path, body)
 
     world.state.handle = counted
-    ticks = leader.term.ticks
+    evaluations = leader.term.evaluations.count
     await asyncio.sleep(QUIET_S)
-    assert leader.term.ticks > ticks and world.checker.starts >= 30  # the minute was one of a leader with work placed
+    assert (
+        leader.term.evaluations.count > evaluations and world.checker.starts >= 30
+    )  # the minute was one of a leader with work placed
     return requests, standings is placer.guaranteed
 
 
