--- a/src/passrock/controller/commit_queue.py
+++ b/src/passrock/controller/commit_queue.py
@@ -7,13 +7,15 @@
 from typing import Any
 
 from passrock.controller import keys
-from passrock.core.jobs import CANCELLED, DONE, Book, Chunk, Job, encode_spec
+from passrock.core.jobs import CANCELLED, DONE, LIVE_BYTES, Book, Chunk, Job, encode_spec
 from passrock.io.clock import steady, time_of_day
 from passrock.io.state import Committed, StateClient, StateError, UnknownOutcomeError
 from passrock.logs import debug, info
 from passrock.wire.state import Delete, Put, Write
 
 RETRY_S = 0.2
+RECORD_BYTES = 700  # a record beside its attempts
+BATCH_BYTES = 40_000  # of the 64 KiB that a transaction may have; conditions and estimates need the rest
 SHORTEST_SLEEP_S = 0.001  # a rounding error left over must not make a busy loop
 FINAL_WRITES = 3  # changes that end a job: its record and its cancellation go, its final record comes
 SUBMISSION_SHARE = 0.2  # of a second's changes, left for submissions and cancellations on this node,
@@ -88,7 +90,7 @@
     def build(self, most: int) -> Batch:
         """The next transaction of up to ``most`` changes, inside the limit on its size."""
         batch = Batch(self.leader_stamp)
-        size_left = 40_000
+        size_left = BATCH_BYTES
         for job_id in list(self.book.finishing):
             if len(batch.writes) + FINAL_WRITES > most:
                 break
@@ -104,7 +106,7 @@
             value: dict[str, Any] = chunk.encode()
             if number == 0:
                 value = {"s": encode_spec(job.spec), "at": job.submitted, **value}
-            size_left -= 700 + 44 * len(chunk.live)
+            size_left -= RECORD_BYTES + LIVE_BYTES * len(chunk.live)
             key = keys.chunk(job_id, number)
             batch.conditions[key] = chunk.stamp
             batch.writes.append(Put(key, value))
