--- a/src/passrock/controller/binding_rounds.py
+++ b/src/passrock/controller/binding_rounds.py
@@ -8,8 +8,9 @@
 
 from passrock.controller import keys
 from passrock.controller.leadership import Leadership
-from passrock.core.fleet import Fleet, TaskState
+from passrock.core.fleet import Fleet
 from passrock.core.jobs import Book
+from passrock.core.messages import TaskState
 from passrock.core.placement import Placer
 from passrock.core.renting import Market
 from passrock.core.reservation import Binding, Claim, Unit, bind, pages
--- a/src/passrock/controller/checkin_handler.py
+++ b/src/passrock/controller/checkin_handler.py
@@ -9,8 +9,9 @@
 from passrock.controller.evaluations import Evaluations
 from passrock.controller.leadership import Leadership
 from passrock.core.checkin import Checkins
-from passrock.core.fleet import Command, Fleet, Machine, Report
+from passrock.core.fleet import Fleet, Machine
 from passrock.core.jobs import Book
+from passrock.core.messages import Command, Report
 from passrock.core.preemption import drain
 from passrock.core.renting import Market
 from passrock.io.clock import steady
--- a/src/passrock/controller/commit_queue.py
+++ b/src/passrock/controller/commit_queue.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from passrock.controller import keys
-from passrock.core.jobs import CANCELLED, DONE, LIVE_BYTES, Book, Chunk, Job, encode_spec
+from passrock.core.jobs import Book, Chunk, Job
+from passrock.core.records import CANCELLED, DONE, LIVE_BYTES, encode_spec
 from passrock.io.clock import steady, time_of_day
 from passrock.io.state import Committed, StateClient, StateError, UnknownOutcomeError
 from passrock.logs import debug, info
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -15,7 +15,7 @@
 from passrock.controller.users import Users
 from passrock.core.budget import Budget
 from passrock.core.cancellations import Cancellations
-from passrock.core.fleet import Command, Op, Report, TaskState
+from passrock.core.messages import Command, Op, Report, TaskState
 from passrock.core.renting import Market
 from passrock.io.clock import steady
 from passrock.io.cloud import CloudClient, CloudError
--- a/src/passrock/controller/rentals.py
+++ b/src/passrock/controller/rentals.py
@@ -8,7 +8,8 @@
 
 from passrock.controller import keys
 from passrock.controller.leadership import Leadership
-from passrock.core.fleet import Fleet, Listed, Machine
+from passrock.core.fleet import Fleet, Machine
+from passrock.core.messages import Listed
 from passrock.core.renting import MOST_PER_RENTAL, Market, Offer
 from passrock.io.clock import steady
 from passrock.io.cloud import CloudClient, CloudError, NoCapacityError
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -19,10 +19,11 @@
 from passrock.core.aims import Aims
 from passrock.core.cancellations import Cancellations
 from passrock.core.fleet import Fleet
-from passrock.core.jobs import Book, Job, chunk_tasks
+from passrock.core.jobs import Book, Job
 from passrock.core.model import Priority
 from passrock.core.placement import Placer
 from passrock.core.preemption import Preemption, stop_softly
+from passrock.core.records import chunk_tasks
 from passrock.core.renting import Market
 from passrock.io.clock import steady, time_of_day
 from passrock.io.cloud import CloudClient
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -12,8 +12,9 @@
 from passrock.controller.replica import READ_WAIT_S, ReadFence, Replica
 from passrock.core.admission import Limiter, fault
 from passrock.core.cancellations import Cancellations
-from passrock.core.jobs import CANCELLED, DONE, chunk_tasks, fits_record, new_record
+from passrock.core.jobs import new_record
 from passrock.core.model import Spec
+from passrock.core.records import CANCELLED, DONE, chunk_tasks, fits_record
 from passrock.core.renting import Market
 from passrock.io.clock import steady, time_of_day
 from passrock.io.http_server import Request, Response
--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from passrock.core.fleet import Command, Fleet, Machine, Op, Report, TaskReport, TaskState
+from passrock.core.fleet import Fleet, Machine
 from passrock.core.jobs import Book, Job, Live
+from passrock.core.messages import Command, Op, Report, TaskReport, TaskState
 from passrock.core.model import NOTHING, Amount
 
 ERROR_BACKOFF_S = 2.0
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -1,13 +1,13 @@
-"""Machines, and what is evidence about them."""
+"""Machines as the leader knows them, and what is evidence about them."""
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from enum import Enum, auto
 from typing import Any
 
 import msgspec
 
+from passrock.core.messages import Report
 from passrock.core.model import EPSILON, NOTHING, Amount, MachineType, Spec
 
 # Two controllers' clocks may differ by 0.05 % each way; leases are waited out with this factor.
@@ -26,70 +26,6 @@
 DELETED_KEPT = 10_000
 
 
-class TaskState(Enum):
-    """What a worker says of a task."""
-
-    FETCHING = auto()
-    WAITING = auto()
-    RUNNING = auto()
-    SAVING = auto()
-    EXITED = auto()
-
-
-class Op(Enum):
-    """What a worker can be told about a task."""
-
-    START = auto()
-    STOP = auto()
-    FORGET = auto()
-
-
-class Command(msgspec.Struct, frozen=True):
-    """One command to a worker."""
-
-    op: Op
-    job: str
-    index: int
-    attempt: int
-    grace: float = 0.0
-
-
-class TaskReport(msgspec.Struct, frozen=True):
-    """One task in a worker's report."""
-
-    job: str
-    index: int
-    attempt: int
-    state: TaskState
-    why: str
-    saved: bool
-
-
-class Report(msgspec.Struct, frozen=True):
-    """A worker's check-in."""
-
-    machine: str
-    type: str
-    zone: str
-    spot: bool
-    session: int
-    seq: int
-    token: int
-    notice: float | None
-    tasks: list[TaskReport]
-
-
-class Listed(msgspec.Struct, frozen=True):
-    """A machine in the cloud's list."""
-
-    name: str
-    type: str
-    zone: str
-    spot: bool
-    status: str
-    age: float
-
-
 class Machine(msgspec.Struct):
     """A machine as the leader knows it."""
 
--- a/src/passrock/core/preemption.py
+++ b/src/passrock/core/preemption.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable
 
 from passrock.core.aims import fetch_time
-from passrock.core.fleet import Machine, TaskState
+from passrock.core.fleet import Machine
 from passrock.core.jobs import Book, Job, Live
+from passrock.core.messages import TaskState
 from passrock.core.model import NOTHING, Kind, Priority
 from passrock.core.placement import ARRAY_BATCH, Hold, Placer
 
--- /dev/null
+++ b/src/passrock/core/records.py
@@ -0,0 +1,68 @@
+"""Job descriptions as the state service stores them, and how much one record holds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from passrock.core.model import Amount, Kind, Priority, Spec
+
+LIVE_BYTES = 44  # a recorded attempt at its longest, as JSON
+DESCRIPTION_BYTES = 1200  # kept free in a job's own record for its description
+DONE = "done"
+CANCELLED = "cancelled"
+
+
+def chunk_tasks(value_bytes: int) -> int:
+    """How many tasks one record holds, with room left for the job's own description."""
+    return max(8, int((value_bytes - DESCRIPTION_BYTES) / LIVE_BYTES))
+
+
+def encode_spec(spec: Spec) -> dict[str, Any]:
+    """A job's description for its record."""
+    return {
+        "id": spec.id,
+        "c": spec.job_class,
+        "t": spec.team,
+        "k": spec.kind.value,
+        "p": int(spec.priority),
+        "n": spec.tasks,
+        "r": [spec.need.cpus, spec.need.gpus, spec.need.memory],
+        "i": spec.image,
+        "ig": spec.image_gb,
+        "ty": None if spec.types is None else list(spec.types),
+        "z": spec.zone,
+        "f": [spec.one_zone, spec.spread, spec.spot],
+        "e": [spec.estimate, spec.checkpoint, spec.save],
+        "dl": spec.deadline,
+    }
+
+
+def decode_spec(data: dict[str, Any]) -> Spec:
+    """The reverse of encode_spec."""
+    return Spec(
+        id=data["id"],
+        job_class=data["c"],
+        team=data["t"],
+        kind=Kind(data["k"]),
+        priority=Priority(data["p"]),
+        tasks=data["n"],
+        need=Amount(*data["r"]),
+        image=data["i"],
+        image_gb=data["ig"],
+        types=None if data["ty"] is None else tuple(data["ty"]),
+        zone=data["z"],
+        one_zone=data["f"][0],
+        spread=data["f"][1],
+        spot=data["f"][2],
+        estimate=data["e"][0],
+        checkpoint=data["e"][1],
+        save=data["e"][2],
+        deadline=data["dl"],
+    )
+
+
+def fits_record(spec: Spec) -> bool:
+    """Whether the description is short enough for its record."""
+    return len(msgspec.json.encode(encode_spec(spec))) <= DESCRIPTION_BYTES - 100
--- a/src/passrock/io/cloud.py
+++ b/src/passrock/io/cloud.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from passrock.core.budget import Budget
-from passrock.core.fleet import Listed
+from passrock.core.messages import Listed
 from passrock.core.model import MachineType
 from passrock.io.clock import steady
 from passrock.io.http_client import HttpClient, NoAnswerError
--- a/src/passrock/wire/cloud.py
+++ b/src/passrock/wire/cloud.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passrock.core.fleet import Listed
+from passrock.core.messages import Listed
 from passrock.core.model import Amount, MachineType
 from passrock.wire import cbor
 
--- a/src/passrock/wire/workers.py
+++ b/src/passrock/wire/workers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from passrock.core.fleet import Command, Op, Report, TaskReport, TaskState
+from passrock.core.messages import Command, Op, Report, TaskReport, TaskState
 from passrock.wire import cbor
 
 CHECKIN_PATH = "/checkin"
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -1,8 +1,9 @@
 """Small builders for the tables of cases."""
 
 from passrock.core.aims import Aims, Objective
-from passrock.core.fleet import Fleet, Report, TaskReport, TaskState
+from passrock.core.fleet import Fleet
 from passrock.core.jobs import Book, new_record
+from passrock.core.messages import Report, TaskReport, TaskState
 from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
 from passrock.core.placement import Placer
 from passrock.core.preemption import Preemption
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -3,8 +3,9 @@
 import cbor2
 import pytest
 
-from passrock.core.fleet import Command, Op, TaskState
-from passrock.core.jobs import Book, decode_spec, encode_spec, new_record
+from passrock.core.jobs import Book, new_record
+from passrock.core.messages import Command, Op, TaskState
+from passrock.core.records import decode_spec, encode_spec
 from passrock.wire import cloud, state, users, workers
 from passrock.wire.cbor import MalformedBodyError
 from standins.world import World
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,10 +5,11 @@
 from passrock.core.admission import Limiter, fault
 from passrock.core.budget import Budget
 from passrock.core.checkin import Checkins
-from passrock.core.fleet import Op, TaskState
-from passrock.core.jobs import Book, chunk_tasks, new_record
+from passrock.core.jobs import Book, new_record
+from passrock.core.messages import Op, TaskState
 from passrock.core.model import NOTHING, Amount, Kind, Priority, Team
 from passrock.core.preemption import stop_softly
+from passrock.core.records import chunk_tasks
 from passrock.core.renting import Market, Offer, plan_rentals, plan_returns
 from tables import AIMS, BOX, TEAMS, TERM, Desk, report, row, spec
 
--- /dev/null
+++ b/tests/test_records.py
@@ -0,0 +1,43 @@
+"""The stored form of records: a newer controller takes over the records of an older one during a rolling restart."""
+
+import cbor2
+import msgspec
+
+from passrock.core.jobs import new_record
+from passrock.wire import users
+from standins.world import World
+from tables import Desk
+
+# As the sources of 35152c8 wrote them.
+JOB = (
+    b'{"s":{"id":"wk-000412","c":"x","t":"t1","k":"array","p":1,"n":3,"r":[5.0,1.0,20.0],"i":"img-0","ig":2.0,'
+    b'"ty":["box"],"z":"a","f":[false,false,false],"e":[10.0,0.0,0.0],"dl":900.0},"at":12.5,"a":0,"d":"0","l":{}}'
+)
+CHUNK = b'{"a":5,"d":"2","l":{"2":[5,"m1",1]}}'
+HINTS = b'[{"i":[["img",2.0]],"m":{"m1":[0]}}]'
+
+
+def test_records_keep_their_stored_form():
+    described = World.job(None, 412, dueS=900.0, volumes=3, bindings=["box"], branch="a")
+    spec = users.parse_submission(cbor2.dumps(described))
+    assert msgspec.json.encode(new_record(spec, 12.5)) == JOB
+
+    desk = Desk()
+    machine = desk.fleet.machines["m1"]
+    job = desk.book.load(msgspec.json.decode(JOB), 7, 100.0, 20.0)
+    desk.book.start(job, 1, machine, 4, 0.0)
+    desk.book.completed(next(job.lives()))
+    desk.book.start(job, 2, machine, 5, 0.0)
+    assert msgspec.json.encode(job.chunk(0).encode()) == CHUNK
+    machine.images["img"] = 2.0
+    assert msgspec.json.encode(desk.fleet.encode_hints(4)) == HINTS
+
+
+def test_records_of_older_sources_are_read():
+    desk = Desk()
+    job = desk.book.load({**msgspec.json.decode(JOB), **msgspec.json.decode(CHUNK)}, 7, 100.0, 20.0)
+    live = next(job.lives())
+    assert (job.spec.id, job.spec.deadline, job.submitted, job.done_count) == ("wk-000412", 900.0, 12.5, 1)
+    assert (live.index, live.attempt, live.machine, live.session, live.mine) == (2, 5, "m1", 1, False)
+    desk.fleet.load_hints(msgspec.json.decode(HINTS)[0])
+    assert desk.fleet.hints == {"m1": {"img": 2.0}}
