Resources in the settings: faults and warnings named; final states kept are a part of the memory

check-config names a cpu or mem_mb that is missing, zero, negative or no number (exit code 2) and warns of little; a controller logs when its sockets are fewer than the machines that the guarantees need. io/state checks status and body in one place.

--- a/src/passrock/cli.py
+++ b/src/passrock/cli.py
@@ -7,7 +7,7 @@
 
 from passrock import __version__
 from passrock.serving import EXIT_FAULTY_SETTINGS, serve_from
-from passrock.settings import FilePath, SettingsError, read_settings
+from passrock.settings import FilePath, SettingsError, read_settings, warnings
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -41,10 +41,12 @@
 def check_config(path: FilePath, operator_path: FilePath | None) -> int:
     """Print every fault of a settings file; returns the exit code."""
     try:
-        read_settings(path, operator_path)
+        settings = read_settings(path, operator_path)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
         return EXIT_FAULTY_SETTINGS
+    for warning in warnings(settings):
+        print(f"warning: {warning}", file=sys.stderr)
     print(f"{path}: fine")
     return 0
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
 
@@ -24,7 +25,7 @@
 from passrock.io.peers import Link, PeerLink, Peers
 from passrock.io.state import StateClient, StateError
 from passrock.logs import debug, error, info, start_logging
-from passrock.settings import Settings
+from passrock.settings import Settings, warnings
 from passrock.wire import users as user_wire
 from passrock.wire import workers as worker_wire
 from passrock.wire.cbor import MalformedBodyError
@@ -32,6 +33,8 @@
 
 STATE_CONNECTIONS = 12
 LEADER_PART = 0.6
+FINALS_MEMORY_SHARE = 0.03  # of the memory, for the final states of jobs that are kept to answer questions
+FINAL_BYTES = 200  # a final state in memory
 KEEP_CANCELLED = 4.0  # times cancel_s: by then every task of a cancelled job is long gone
 
 
@@ -50,7 +53,8 @@
         self.state = state
         self.cloud = cloud
         self.market = Market()
-        self.replica = Replica(state)
+        self.sockets = int(settings.fd_limit * settings.operator.socket_share) - STATE_CONNECTIONS
+        self.replica = Replica(state, int(settings.memory_mb * FINALS_MEMORY_SHARE * 1e6 / FINAL_BYTES))
         self.cancellations = Cancellations(settings.cancel_s * KEEP_CANCELLED)
         self.cancellations.learned = self._cancelled
         self.replica.listeners.append(self._listen)
@@ -175,10 +179,11 @@
     async def run(self) -> None:
         """Serve until killed."""
         settings = self.settings
-        limit = int(settings.fd_limit * settings.operator.socket_share) - STATE_CONNECTIONS
-        server = HttpServer(self.handle, limit, idle_s=60.0, head_s=settings.report_s * 4)
+        server = HttpServer(self.handle, self.sockets, idle_s=60.0, head_s=settings.report_s * 4)
         listening = await server.start(settings.client_listen.host, settings.client_listen.port)
         peer_listening = await self.peers.listen(settings.peer_listen)
+        for warning in warnings(settings):
+            info("small_settings", warning=warning)
         info("serving", version=__version__, node=settings.node, peers=len(settings.peers))
         gc.collect()
         gc.freeze()
@@ -210,6 +215,13 @@
                 error("loop_failed", problem=repr(problem))
                 await asyncio.sleep(self.settings.leader_lease_s / 4)
 
+    def _check_sockets(self) -> None:
+        """Say once in the log when the sockets are too few for the machines that the guarantees need."""
+        largest = max((kind.size.gpus for kind in self.market.types.values()), default=0.0)
+        guaranteed = sum(team.gpus for team in self.settings.teams.values())
+        if largest > 0 and guaranteed / largest > self.sockets:
+            error("sockets_too_few", sockets=self.sockets, machines_guaranteed=math.ceil(guaranteed / largest))
+
     async def _learn_types(self) -> None:
         """Machine types are needed before anything can be decided."""
         while not self.market.types:
@@ -218,6 +230,7 @@
             except CloudError as problem:
                 debug("types_unknown", problem=problem)
                 await asyncio.sleep(1.0)
+        self._check_sockets()
 
     async def _beat(self) -> None:
         """Know whether the state service answers, also when nobody asks for anything."""
--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -15,7 +15,6 @@
 from passrock.wire.state import Change, Entry
 
 WATCH_MS = 4000
-FINALS_KEPT = 20_000
 WATCH_GAP = 3.0  # between two watches, as a number of requests at this node's rate
 RETRY_S = 0.3
 COMMIT_SHARE = 0.2  # of a second's requests, left for commits when users' questions are read for
@@ -38,8 +37,9 @@
 class Replica:
     """A copy of all keys but the final ones, which are only cached."""
 
-    def __init__(self, state: StateClient) -> None:
+    def __init__(self, state: StateClient, finals_kept: int) -> None:
         self.state = state
+        self.finals_kept = finals_kept
         self.entries: dict[str, Entry] = {}
         self.finals: OrderedDict[str, str] = OrderedDict()
         self.revision = -1
@@ -127,7 +127,7 @@
         """Remember how a job ended; this never changes again."""
         with self._lock:
             self.finals[job_id] = status
-            if len(self.finals) > FINALS_KEPT:
+            if len(self.finals) > self.finals_kept:
                 self.finals.popitem(last=False)
 
     async def reach(self, revision: int, timeout: float) -> bool:
--- a/src/passrock/io/state.py
+++ b/src/passrock/io/state.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 
@@ -13,6 +15,8 @@
 from passrock.wire.cbor import MalformedBodyError
 from passrock.wire.state import Change, Entry, Write
 
+Answer = TypeVar("Answer")
+
 
 class StateError(Exception):
     """The call did not succeed and was not carried out."""
@@ -88,24 +92,16 @@
     async def get(self, key: str, timeout: float = 1.5) -> tuple[Entry | None, int]:
         """The key, or None; and for a missing key the store's revision."""
         status, body = await self._call("GET", wire.get_path(key), timeout=timeout)
-        try:
-            if status == 404:
-                return None, wire.parse_revision(body)
-            if status == 200:
-                return wire.parse_entry(body), 0
-        except MalformedBodyError as error:
-            raise StateError(f"malformed answer: {error}") from error
-        raise StateError(f"status {status}")
+        if status == 404:
+            return None, _parsed(wire.parse_revision, body)
+        _require_success(status)
+        return _parsed(wire.parse_entry, body), 0
 
     async def page(self, prefix: str, after: str) -> tuple[list[Entry], bool, int]:
         """One page of keys."""
         status, body = await self._call("GET", wire.list_path(prefix, after), timeout=5.0)
-        if status != 200:
-            raise StateError(f"status {status}")
-        try:
-            return wire.parse_page(body)
-        except MalformedBodyError as error:
-            raise StateError(f"malformed answer: {error}") from error
+        _require_success(status)
+        return _parsed(wire.parse_page, body)
 
     async def commit(self, conditions: dict[str, int], writes: list[Write]) -> Committed | Refused:
         """A transaction; raises UnknownOutcomeError when its fate isn't known."""
@@ -125,20 +121,15 @@
     async def new_lease(self, ttl_s: float) -> int:
         """A new lease."""
         status, body = await self._call("POST", wire.LEASES_PATH, wire.lease_request(ttl_s))
-        if status != 200:
-            raise StateError(f"status {status}")
-        try:
-            return wire.parse_lease(body)
-        except MalformedBodyError as error:
-            raise StateError(f"malformed answer: {error}") from error
+        _require_success(status)
+        return _parsed(wire.parse_lease, body)
 
     async def renew(self, lease: int, timeout: float) -> None:
         """Renew; raises LeaseEndedError when it has ended."""
         status, _ = await self._call("POST", wire.renew_path(lease), timeout=timeout)
         if status == 404:
             raise LeaseEndedError("lease ended")
-        if status != 200:
-            raise StateError(f"status {status}")
+        _require_success(status)
 
     async def end_lease(self, lease: int) -> None:
         """End a lease at once."""
@@ -157,9 +148,17 @@
             raise StateError(str(error)) from error
         if status == 410:
             raise CompactedError("changes no longer kept")
-        if status != 200:
-            raise StateError(f"status {status}")
-        try:
-            return wire.parse_changes(body)
-        except MalformedBodyError as error:
-            raise StateError(f"malformed answer: {error}") from error
+        _require_success(status)
+        return _parsed(wire.parse_changes, body)
+
+
+def _require_success(status: int) -> None:
+    if status != 200:
+        raise StateError(f"status {status}")
+
+
+def _parsed(parse: Callable[[bytes], Answer], body: bytes) -> Answer:
+    try:
+        return parse(body)
+    except MalformedBodyError as error:
+        raise StateError(f"malformed answer: {error}") from error
--- a/src/passrock/settings.py
+++ b/src/passrock/settings.py
@@ -14,6 +14,8 @@
 
 FilePath = str | os.PathLike[str]
 
+LEAST_CPU = 0.05  # of a core: a start alone takes a seventh of a second of a whole one
+LEAST_MEMORY_MB = 40.0  # twice what a controller takes at rest
 KNOWN_WITHIN = 2  # report intervals, the least in which a cancellation can become known to the leader
 
 
@@ -93,6 +95,8 @@
     cloud_rps: float
     list_lag_s: float
     fd_limit: int
+    cpu: float  # the share of a core that a controller has
+    memory_mb: float
     operator: Operator = msgspec.field(default_factory=Operator)
 
     @property
@@ -247,10 +251,24 @@
         cloud_rps=read.number(cloud, "rps", "deployment.cloud.", above=True),
         list_lag_s=read.number(cloud, "list_lag_s", "deployment.cloud."),
         fd_limit=int(read.number(limits, "fd_limit", "deployment.resources.", low=32)),
+        cpu=read.number(limits, "cpu", "deployment.resources.", above=True),
+        memory_mb=read.number(limits, "mem_mb", "deployment.resources.", above=True),
         operator=operator,
     )
 
 
+def warnings(settings: Settings) -> list[str]:
+    """What in the settings is so small that the service may be slow or refuse requests; it serves all the same."""
+    found = []
+    if settings.cpu < LEAST_CPU:
+        found.append(
+            f"deployment.resources.cpu: {settings.cpu} of a core is less than {LEAST_CPU}: answers will be late"
+        )
+    if settings.memory_mb < LEAST_MEMORY_MB:
+        found.append(f"deployment.resources.mem_mb: {settings.memory_mb} is less than {LEAST_MEMORY_MB}")
+    return found
+
+
 def _check_times(workers: dict[str, Any], faults: list[str]) -> None:
     """A cancellation needs a worker's lease, and knowledge of it a few reports more, to take effect."""
     times = [workers.get(key) for key in ("cancel_s", "lease_s", "report_s")]
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,9 @@
 import pytest
 
 from passrock.controller.leadership import Leadership
-from passrock.core.fleet import Fleet
+from passrock.controller.replica import Replica
+from passrock.core.cancellations import Cancellations
+from passrock.core.fleet import DELETED_KEPT, Fleet
 from passrock.io.http_server import Request
 from passrock.io.state import Refused
 from passrock.wire.state import Put
@@ -294,3 +296,19 @@
     assert world.checker.broken == []
     assert not lost & (cut - with_replicas)  # all back
     assert lost & with_replicas and up == 4  # but the replica's machine was given up, and it runs elsewhere
+
+
+def test_what_is_kept_for_answers_is_bounded():
+    """Final states by a part of the memory, names of deleted machines by a number: a long life doesn't grow them."""
+    replica = Replica(None, finals_kept=50)
+    for number in range(500):
+        replica.note_final(f"wk-{number}", "done")
+    assert len(replica.finals) == 50 and "wk-499" in replica.finals
+    fleet = Fleet(1.0, 10.0, 0.36, 0.0, 1)
+    for number in range(DELETED_KEPT + 500):
+        fleet.forget(f"host-{number:06d}", float(number))
+    assert len(fleet.deleted) == DELETED_KEPT and "host-000000" not in fleet.deleted
+    heard = Cancellations(keep_s=60.0)
+    for second in range(1000):
+        heard.learn(f"wk-{second}", float(second))
+    assert heard.total == 1000 and len(heard.piece(0, 1000)[1]) == 61
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -55,6 +55,10 @@
         ("deployment.state.txn_ops", 1),
         ("deployment.teams", [{"gpus": 1.0}]),
         ("deployment.teams", [{"name": "a"}, {"name": "a"}]),
+        ("deployment.resources.cpu", None),
+        ("deployment.resources.cpu", 0.0),
+        ("deployment.resources.mem_mb", -98.0),
+        ("deployment.resources.mem_mb", "98"),
         ("peers", [{"node": "x", "area": "a", "endpoint": "nowhere"}]),
     ],
 )
@@ -74,6 +78,12 @@
     change(table, "deployment.workers.lease_s", -1.0)
     bad.write_text(toml(table))
     assert main(["check-config", str(good)]) == 0
+    assert capsys.readouterr().err == ""
+    little = node_table(0, 3, ("a", "b", "c"))
+    change(little, "deployment.resources.cpu", 0.01)
+    good.write_text(toml(little))
+    assert main(["check-config", str(good)]) == 0  # it serves as well as can be
+    assert "warning: deployment.resources.cpu" in capsys.readouterr().err
     assert main(["check-config", str(bad)]) == 2
     err = capsys.readouterr().err
     assert "node:" in err and "lease_s" in err
