--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -13,7 +13,7 @@
 from passrock.core.fleet import DRIFT, silence_limit
 from passrock.core.lost_workers import LostWorkers
 from passrock.io.clock import steady
-from passrock.io.peers import Hello, Peers
+from passrock.io.peers import Heartbeat, Peers
 from passrock.io.state import Committed, LeaseEndedError, StateClient, StateError, UnknownOutcomeError
 from passrock.logs import info
 from passrock.settings import Settings
@@ -66,7 +66,7 @@
     def _listen(self, key: str, entry: Entry | None) -> None:
         """A term that the copy of the state shows counts at once, before any worker is sent to its old leader."""
         if key == keys.TERM and entry is not None and isinstance(entry.value, int):
-            self.saw_term(entry.value)
+            self.observe_term(entry.value)
 
     # -- what others may rely on ------------------------------------------------------------
 
@@ -110,10 +110,10 @@
         if not self.state.down(steady(), 0.0):
             return False
         votes = 1
-        for hello, _ in self.peers.answers(steady() - self._support_s):
-            if hello.term > self.term:
+        for heartbeat, _ in self.peers.answers(steady() - self._support_s):
+            if heartbeat.term > self.term:
                 return False
-            if hello.has_read and hello.state_down and hello.term == self.term:
+            if heartbeat.has_read and heartbeat.state_down and heartbeat.term == self.term:
                 votes += 1
         return votes * 2 > self.settings.nodes
 
@@ -152,7 +152,7 @@
         if self.peers is not None:
             leading = [h for h, _ in self.peers.answers(now - self.ttl) if h.leading and h.term >= self.known_term]
             if leading:
-                return max(leading, key=lambda hello: hello.term).node
+                return max(leading, key=lambda heartbeat: heartbeat.term).node
         entry = self.replica.get(keys.LEADER)
         if entry is None or not isinstance(entry.value, dict) or self.state.down(now, self.ttl):
             return None
@@ -161,9 +161,9 @@
             return None  # the copy lags: that leader has been replaced
         return node
 
-    def view(self) -> Hello:
+    def view(self) -> Heartbeat:
         """What the peers are told."""
-        return Hello(
+        return Heartbeat(
             node=self.settings.node,
             term=self.known_term,
             leading=self.leading,
@@ -200,13 +200,13 @@
         """The other controllers that answered lately and don't lead."""
         if self.peers is None:
             return []
-        return [hello.node for hello, _ in self.peers.answers(now - self._support_s) if not hello.leading]
+        return [heartbeat.node for heartbeat, _ in self.peers.answers(now - self._support_s) if not heartbeat.leading]
 
     def workers_elsewhere(self) -> int:
         """How many workers came to other controllers lately instead of this one."""
         if self.peers is None:
             return 0
-        return sum(hello.redirects for hello, _ in self.peers.answers(steady() - self._support_s))
+        return sum(heartbeat.redirects for heartbeat, _ in self.peers.answers(steady() - self._support_s))
 
     def peer_hangs(self) -> bool:
         """Whether a controller stands still or is cut off, so that workers may be waiting for its answer."""
@@ -224,11 +224,11 @@
         except StateError as problem:
             info("key_kept", problem=problem)  # it runs out by itself
 
-    def heard(self, hello: Hello) -> None:
+    def heard(self, heartbeat: Heartbeat) -> None:
         """A peer told its view."""
-        self.saw_term(hello.term)
+        self.observe_term(heartbeat.term)
 
-    def saw_term(self, term: int) -> None:
+    def observe_term(self, term: int) -> None:
         """A term was seen anywhere: a higher one than ours ends our leadership at once."""
         if term > self.known_term:
             self.known_term = term
@@ -239,7 +239,7 @@
         """Note when a majority had taken in our term, and older support had run out."""
         if not self.leading or self.fenced_at is not None or self.peers is None:
             return
-        votes = 1 + sum(1 for hello, _ in self.peers.answers(-1e8) if hello.term >= self.term)
+        votes = 1 + sum(1 for heartbeat, _ in self.peers.answers(-1e8) if heartbeat.term >= self.term)
         if votes * 2 > self.settings.nodes:
             self.fenced_at = steady() + self._support_s * DRIFT
 
@@ -291,7 +291,7 @@
         entry = self.replica.get(keys.LEADER)
         term_entry = self.replica.get(keys.TERM)
         if term_entry is not None:
-            self.saw_term(int(term_entry.value))
+            self.observe_term(int(term_entry.value))
         if entry is not None and not (
             isinstance(entry.value, dict) and entry.value.get("node") == self.settings.node
         ):
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -135,7 +135,7 @@
         if not self.state.down(now, 1.5):
             return True
         answers = self.peers.answers(now - 3.0)
-        if any(not hello.state_down for hello, _ in answers):
+        if any(not heartbeat.state_down for heartbeat, _ in answers):
             return False
         return (len(answers) + 1) * 2 > self.settings.nodes
 
@@ -144,7 +144,7 @@
             report = worker_wire.parse_report(request.body)
         except MalformedBodyError as problem:
             return Response(400, user_wire.error_answer(str(problem)))
-        self.leadership.saw_term(report.token)
+        self.leadership.observe_term(report.token)
         if not self.leadership.may_renew():
             if self.leadership.may_renew_leaderless(report.token):
                 return Response(200, worker_wire.answer(report.token, self._stops(report)))
--- a/src/passrock/controller/rentals.py
+++ b/src/passrock/controller/rentals.py
@@ -9,7 +9,7 @@
 from passrock.controller import keys
 from passrock.controller.leadership import Leadership
 from passrock.core.fleet import Fleet, Machine
-from passrock.core.messages import Listed
+from passrock.core.messages import ListedMachine
 from passrock.core.renting import MOST_PER_RENTAL, Market, Offer
 from passrock.io.clock import steady
 from passrock.io.cloud import CloudClient, CloudError, NoCapacityError
@@ -167,7 +167,7 @@
                 debug("list_failed", problem=problem)
             await asyncio.sleep(max(self.settings.list_lag_s, 2.0))
 
-    def _listed(self, rows: list[Listed]) -> None:
+    def _listed(self, rows: list[ListedMachine]) -> None:
         now = steady()
         for row in rows:
             kind = self.market.types.get(row.type)
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -31,7 +31,7 @@
 LEAST_IN_PROGRESS = 4
 
 
-class Known(msgspec.Struct, frozen=True):
+class JobStatus(msgspec.Struct, frozen=True):
     """What a user may be told of a job."""
 
     status: str
@@ -188,12 +188,12 @@
 
     # -- what is known ------------------------------------------------------------------------
 
-    def _unfinished(self, job_id: str) -> Known | None:
+    def _unfinished(self, job_id: str) -> JobStatus | None:
         entry = self.replica.get(keys.job(job_id))
         if entry is None:
             return None
         if self.replica.get(keys.cancel(job_id)) is not None:
-            return Known(CANCELLED)
+            return JobStatus(CANCELLED)
         value = entry.value
         spec = value["s"]
         done, running = int(value["d"], 16).bit_count(), len(value["l"])
@@ -202,13 +202,13 @@
             if chunk is not None:
                 done += int(chunk.value["d"], 16).bit_count()
                 running += len(chunk.value["l"])
-        return Known("running" if running else "queued", done, running)
+        return JobStatus("running" if running else "queued", done, running)
 
-    async def _look_up(self, job_id: str) -> Known | None:
+    async def _look_up(self, job_id: str) -> JobStatus | None:
         """The job's state, not older than this call; None when there is no such job."""
         status = self.replica.finals.get(job_id)
         if status is not None:
-            return Known(status)
+            return JobStatus(status)
         for _ in range(READ_TRIES):
             if await self.fence.passed():
                 known = self._unfinished(job_id)
@@ -223,19 +223,19 @@
                 mark, _ = await self.state.get(keys.cancel(job_id), timeout=0.8)
                 if mark is not None:
                     self.cancellations.learn(job_id, steady())
-                    return Known(CANCELLED)
+                    return JobStatus(CANCELLED)
                 # the job may have ended between the two reads, and its mark with it
                 ended, _ = await self.state.get(keys.final(job_id), timeout=0.8)
                 if ended is None:
-                    return Known("queued", int(entry.value["d"], 16).bit_count(), len(entry.value["l"]))
+                    return JobStatus("queued", int(entry.value["d"], 16).bit_count(), len(entry.value["l"]))
         status = self.replica.finals.get(job_id)
         if status is not None:
-            return Known(status)
+            return JobStatus(status)
         entry, _ = await self.state.get(keys.final(job_id), timeout=0.8)
         if entry is None:
             return None
         self.replica.note_final(job_id, entry.value["s"])
-        return Known(entry.value["s"], entry.value["n"] if entry.value["s"] == DONE else 0)
+        return JobStatus(entry.value["s"], entry.value["n"] if entry.value["s"] == DONE else 0)
 
     # -- the requests ---------------------------------------------------------------------------
 
--- a/src/passrock/core/checkin.py
+++ b/src/passrock/core/checkin.py
@@ -5,7 +5,7 @@
 from passrock.core.fleet import Fleet, Machine
 from passrock.core.jobs import Book, Job, Live
 from passrock.core.messages import Command, Op, Report, TaskReport, TaskState
-from passrock.core.model import NOTHING, Amount
+from passrock.core.model import NOTHING, Resources
 
 ERROR_BACKOFF_S = 2.0
 ERROR_BACKOFF_MOST = 60.0
@@ -32,7 +32,7 @@
         held = self.book.held.get(machine.name, {})
         for live in [one for one in held.values() if one.session < report.session]:
             self._gone(live, now)  # a later session has forgotten every task of the earlier ones
-        strays: dict[tuple[str, int], Amount] = {}
+        strays: dict[tuple[str, int], Resources] = {}
         fetching: dict[str, float] = {}
         listed: set[tuple[str, int, int]] = set()
         for row in report.tasks:
--- a/src/passrock/core/fleet.py
+++ b/src/passrock/core/fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from passrock.core.messages import Report
-from passrock.core.model import EPSILON, NOTHING, Amount, MachineType, Spec
+from passrock.core.model import EPSILON, NOTHING, MachineType, Resources, Spec
 
 # Two controllers' clocks may differ by 0.05 % each way; leases are waited out with this factor.
 DRIFT = 1.002
@@ -52,18 +52,18 @@
     failed_jobs: dict[str, float] = msgspec.field(default_factory=dict)
     images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
     fetching: dict[str, float] = msgspec.field(default_factory=dict)
-    strays: dict[tuple[str, int], Amount] = msgspec.field(default_factory=dict)
-    used: Amount = NOTHING
+    strays: dict[tuple[str, int], Resources] = msgspec.field(default_factory=dict)
+    used: Resources = NOTHING
 
     @property
-    def room(self) -> Amount:
+    def room(self) -> Resources:
         """What is left for further tasks."""
         free = self.type.size - self.used
         for amount in self.strays.values():
             free = free - amount
         return free
 
-    def has_room(self, need: Amount) -> bool:
+    def has_room(self, need: Resources) -> bool:
         """Whether ``need`` fits; asked of every machine in every pass, and so without making amounts."""
         size, used = self.type.size, self.used
         return (
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -10,7 +10,7 @@
 
 from passrock.core.fleet import Fleet, Machine
 from passrock.core.messages import TaskState
-from passrock.core.model import NOTHING, Amount, Kind, Spec
+from passrock.core.model import NOTHING, Kind, Resources, Spec
 from passrock.core.records import decode_spec, encode_spec
 
 
@@ -156,10 +156,10 @@
         return counts
 
 
-def least_need(jobs: list[Job]) -> Amount:
+def least_need(jobs: list[Job]) -> Resources:
     """The least of each resource that any of the jobs' tasks takes."""
     needs = [job.spec.need for job in jobs]
-    return Amount(
+    return Resources(
         min((need.cpus for need in needs), default=0.0),
         min((need.gpus for need in needs), default=0.0),
         min((need.memory for need in needs), default=0.0),
@@ -173,7 +173,7 @@
         self.chunk_size = chunk_size
         self.jobs: dict[str, Job] = {}
         self.held: dict[str, dict[tuple[str, int], Live]] = {}
-        self.usage: dict[str, Amount] = {}
+        self.usage: dict[str, Resources] = {}
         self.demand_version = 0  # counts the changes of what jobs still ask for
         self.dirty: dict[tuple[str, int], None] = {}
         self.finishing: dict[str, None] = {}
--- a/src/passrock/core/messages.py
+++ b/src/passrock/core/messages.py
@@ -60,7 +60,7 @@
     tasks: list[TaskReport]
 
 
-class Listed(msgspec.Struct, frozen=True):
+class ListedMachine(msgspec.Struct, frozen=True):
     """A machine in the cloud's list."""
 
     name: str
--- a/src/passrock/core/model.py
+++ b/src/passrock/core/model.py
@@ -26,24 +26,24 @@
     PRODUCTION = 3
 
 
-class Amount(msgspec.Struct, frozen=True, gc=False):
+class Resources(msgspec.Struct, frozen=True, gc=False):
     """What a task takes of a machine, or what a machine has; made by the thousand, hence a light struct."""
 
     cpus: float
     gpus: float
     memory: float
 
-    def __add__(self, other: Amount) -> Amount:
-        return Amount(self.cpus + other.cpus, self.gpus + other.gpus, self.memory + other.memory)
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(self.cpus + other.cpus, self.gpus + other.gpus, self.memory + other.memory)
 
-    def __sub__(self, other: Amount) -> Amount:
-        return Amount(self.cpus - other.cpus, self.gpus - other.gpus, self.memory - other.memory)
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(self.cpus - other.cpus, self.gpus - other.gpus, self.memory - other.memory)
 
-    def times(self, count: float) -> Amount:
+    def times(self, count: float) -> Resources:
         """The amount that ``count`` of these take."""
-        return Amount(self.cpus * count, self.gpus * count, self.memory * count)
+        return Resources(self.cpus * count, self.gpus * count, self.memory * count)
 
-    def fits(self, room: Amount) -> bool:
+    def fits(self, room: Resources) -> bool:
         """Whether this amount fits into ``room``."""
         return (
             self.gpus <= room.gpus + EPSILON
@@ -51,7 +51,7 @@
             and self.memory <= room.memory + EPSILON
         )
 
-    def count_in(self, room: Amount, most: int) -> int:
+    def count_in(self, room: Resources, most: int) -> int:
         """How many of this amount fit into ``room`` together, up to ``most``."""
         counts = [
             int((theirs + EPSILON) / mine)
@@ -60,7 +60,7 @@
         ]
         return max(0, min([most, *counts]))
 
-    def share_of(self, whole: Amount) -> float:
+    def share_of(self, whole: Resources) -> float:
         """The largest part that this amount takes of any resource of ``whole``."""
         parts = [
             mine / theirs
@@ -74,7 +74,7 @@
         return max(parts, default=0.0)
 
 
-NOTHING = Amount(0.0, 0.0, 0.0)
+NOTHING = Resources(0.0, 0.0, 0.0)
 
 
 class Team(msgspec.Struct, frozen=True):
@@ -91,14 +91,14 @@
         """Whether any capacity is promised to the team."""
         return self.cpus > 0 or self.gpus > 0
 
-    def within_limit(self, used: Amount) -> bool:
+    def within_limit(self, used: Resources) -> bool:
         """Whether ``used`` stays inside the team's limit."""
         return not (
             (self.cpus_max > 0 and used.cpus > self.cpus_max + EPSILON)
             or (self.gpus_max > 0 and used.gpus > self.gpus_max + EPSILON)
         )
 
-    def within_guarantee(self, used: Amount) -> bool:
+    def within_guarantee(self, used: Resources) -> bool:
         """Whether ``used`` stays inside what the team is guaranteed."""
         if not self.has_guarantee:
             return False
@@ -111,7 +111,7 @@
     """A type of machine that the cloud rents out."""
 
     name: str
-    size: Amount
+    size: Resources
     cache_gb: float
     fetch_rate: float
     price: float
@@ -129,7 +129,7 @@
     kind: Kind
     priority: Priority
     tasks: int
-    need: Amount
+    need: Resources
     image: str
     image_gb: float
     types: tuple[str, ...] | None
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -10,7 +10,7 @@
 from passrock.core.aims import Aims, fetch_time
 from passrock.core.fleet import Fleet, Machine
 from passrock.core.jobs import Book, Job, Live, least_need
-from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Team
+from passrock.core.model import NOTHING, Kind, MachineType, Priority, Resources, Team
 
 # Costs are in seconds, so that they weigh against the wait for an image.
 PACK_COST = 15.0
@@ -30,23 +30,23 @@
     until: float
 
 
-class Rooms(msgspec.Struct):
+class FreeResources(msgspec.Struct):
     """Room per machine during one pass, with tentative use taken off."""
 
-    room: dict[str, Amount] = msgspec.field(default_factory=dict)
+    room: dict[str, Resources] = msgspec.field(default_factory=dict)
 
-    def of(self, machine: Machine) -> Amount:
+    def of(self, machine: Machine) -> Resources:
         """What is left on the machine."""
         room = self.room.get(machine.name)
         if room is None:
             room = self.room[machine.name] = machine.room
         return room
 
-    def take(self, machine: Machine, need: Amount) -> None:
+    def take(self, machine: Machine, need: Resources) -> None:
         """Use some of it."""
         self.room[machine.name] = self.of(machine) - need
 
-    def give(self, machine: Machine, need: Amount) -> None:
+    def give(self, machine: Machine, need: Resources) -> None:
         """Undo a tentative use."""
         self.room[machine.name] = self.of(machine) + need
 
@@ -60,17 +60,17 @@
         self.teams = teams
         self.bound = bound
         self.holds: dict[str, Hold] = {}
-        self.rooms = Rooms()
+        self.rooms = FreeResources()
         self.usable: list[Machine] = []
         self.zones: dict[str, None] = {}  # of usable machines
         self.kinds: dict[str, MachineType] = {}
         self.open: list[Machine] = []  # usable ones with room
         self.cut_short = False  # whether the last pass left tasks of an array that it would have placed
         self.waiting: list[Job] = []  # what the last pass left, most urgent first
-        self.waits: dict[Amount, dict[str, float]] = {}  # room_in of each machine, as far as this pass has asked
+        self.waits: dict[Resources, dict[str, float]] = {}  # room_in of each machine, as far as this pass has asked
         self.hopeless: dict[Any, int] = {}  # kinds of tasks with the least number that found no room
         self.strays: set[tuple[str, int]] = set()
-        self.stray_use: dict[str, Amount] = {}
+        self.stray_use: dict[str, Resources] = {}
         self.guaranteed: set[str] = set()
         self._ranks: dict[str, tuple[bool, bool, int]] = {}  # by job, as of the same version
         self._guaranteed_as_of = -1
@@ -79,7 +79,7 @@
 
     # -- order ---------------------------------------------------------------------------
 
-    def demand(self, team: str, least: Priority = Priority.LOW) -> Amount:
+    def demand(self, team: str, least: Priority = Priority.LOW) -> Resources:
         """What all unfinished jobs of a team ask for, from some priority up."""
         total = NOTHING
         for job in self.book.jobs.values():
@@ -94,7 +94,7 @@
         self._guaranteed_as_of = self.book.demand_version
         self.guaranteed = set()
         self._ranks = {}
-        asked: dict[str, Amount] = {}
+        asked: dict[str, Resources] = {}
         for job in sorted(self.book.jobs.values(), key=lambda job: (job.submitted, job.spec.id)):
             team = self.teams.get(job.spec.team)
             if team is None or job.cancelled:
@@ -143,7 +143,7 @@
     def run(self, now: float) -> list[Live]:
         """Start what fits; returns the new attempts. What still waits afterwards is in ``waiting``."""
         self.waits = {}
-        self.rooms = Rooms()
+        self.rooms = FreeResources()
         self.cut_short = False
         self.find_guaranteed()
         self.holds = {name: hold for name, hold in self.holds.items() if hold.until > now}
@@ -382,7 +382,7 @@
                 self.holds[machine.name] = Hold(spec.id, now + 2 * self.patience)
         return []
 
-    def wait_for(self, machine: Machine, need: Amount, now: float) -> float:
+    def wait_for(self, machine: Machine, need: Resources, now: float) -> float:
         """``room_in``, reckoned once a pass: gangs of one class ask for the same of every machine."""
         waits = self.waits.setdefault(need, {})
         wait = waits.get(machine.name)
@@ -390,7 +390,7 @@
             wait = waits[machine.name] = self.room_in(machine, need, now)
         return wait
 
-    def room_in(self, machine: Machine, need: Amount, now: float) -> float:
+    def room_in(self, machine: Machine, need: Resources, now: float) -> float:
         """Seconds until the machine is likely to have this room, by the owners' estimates."""
         room = self.rooms.of(machine)
         if need.fits(room):
--- a/src/passrock/core/records.py
+++ b/src/passrock/core/records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from passrock.core.model import Amount, Kind, Priority, Spec
+from passrock.core.model import Kind, Priority, Resources, Spec
 
 LIVE_BYTES = 44  # a recorded attempt at its longest, as JSON
 DESCRIPTION_BYTES = 1200  # kept free in a job's own record for its description
@@ -48,7 +48,7 @@
         kind=Kind(data["k"]),
         priority=Priority(data["p"]),
         tasks=data["n"],
-        need=Amount(*data["r"]),
+        need=Resources(*data["r"]),
         image=data["i"],
         image_gb=data["ig"],
         types=None if data["ty"] is None else tuple(data["ty"]),
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -9,7 +9,7 @@
 from passrock.core.aims import Aims
 from passrock.core.fleet import Fleet, Machine
 from passrock.core.jobs import Book, Job, least_need
-from passrock.core.model import NOTHING, Amount, Kind, MachineType, Team
+from passrock.core.model import NOTHING, Kind, MachineType, Resources, Team
 
 LEAST_CHARGED_S = 60.0  # the cloud charges a deleted machine for at least this long
 MOST_PER_RENTAL = 50  # machines that one request can rent
@@ -27,7 +27,7 @@
     """A machine that is on its way, or would be rented."""
 
     offer: Offer
-    room: Amount
+    room: Resources
 
 
 class Market(msgspec.Struct):
@@ -78,7 +78,7 @@
         self.refused[offer] = until
 
 
-def in_reach(job: Job, teams: dict[str, Team], used: dict[str, Amount]) -> int:
+def in_reach(job: Job, teams: dict[str, Team], used: dict[str, Resources]) -> int:
     """How many of the job's waiting tasks the team's limit would let run, given planned use."""
     team = teams[job.spec.team]
     planned = used.get(team.name, NOTHING)
@@ -153,7 +153,7 @@
     return added
 
 
-def _fill(one: Bin, need: Amount, most: int) -> int:
+def _fill(one: Bin, need: Resources, most: int) -> int:
     """Use a bin for up to ``most`` tasks; returns how many."""
     count = need.count_in(one.room, most)
     one.room = one.room - need.times(count)
--- a/src/passrock/io/cloud.py
+++ b/src/passrock/io/cloud.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from passrock.core.budget import Budget
-from passrock.core.messages import Listed
+from passrock.core.messages import ListedMachine
 from passrock.core.model import MachineType
 from passrock.io.clock import steady
 from passrock.io.http_client import HttpClient, NoAnswerError
@@ -64,9 +64,9 @@
         """Give machines back; when this returns they are gone."""
         await self._call("POST", wire.DELETE_PATH, wire.deletion(names))
 
-    async def machines(self) -> list[Listed]:
+    async def machines(self) -> list[ListedMachine]:
         """The whole machine list."""
-        rows: list[Listed] = []
+        rows: list[ListedMachine] = []
         more = True
         while more:
             body = await self._call("GET", wire.list_path(rows[-1].name if rows else ""))
--- a/src/passrock/io/peers.py
+++ b/src/passrock/io/peers.py
@@ -19,7 +19,7 @@
 PIECE = 100  # cancellations in one message, far inside its limit
 
 
-class Hello(msgspec.Struct, frozen=True):
+class Heartbeat(msgspec.Struct, frozen=True):
     """A controller's view: the highest term it knows, whether it leads, how it sees the state service.
 
     ``redirects`` counts the workers of that term which it had to send to the leader lately. ``run`` tells one life
@@ -54,10 +54,10 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Hello)
+_decoder = msgspec.msgpack.Decoder(Heartbeat)
 
 
-def frame(message: Hello) -> bytes:
+def frame(message: Heartbeat) -> bytes:
     """A message with its length."""
     body = _encoder.encode(message)
     return len(body).to_bytes(LENGTH, "big") + body
@@ -66,7 +66,7 @@
 class PeerConnection(asyncio.Protocol):
     """Takes whole messages out of a connection, in either role."""
 
-    def __init__(self, receive: Callable[[PeerConnection, Hello], None]) -> None:
+    def __init__(self, receive: Callable[[PeerConnection, Heartbeat], None]) -> None:
         self.receive = receive
         self.transport: asyncio.Transport | None = None
         self.buffer = b""
@@ -101,7 +101,7 @@
                 return
             self.receive(self, message)
 
-    def send(self, message: Hello) -> None:
+    def send(self, message: Heartbeat) -> None:
         """Write a message, if still connected."""
         if self.transport is not None:
             self.transport.write(frame(message))
@@ -119,13 +119,13 @@
     def __init__(self, peer: Peer) -> None:
         self.peer = peer
         self.connection: PeerConnection | None = None
-        self.answer: Hello | None = None
+        self.answer: Heartbeat | None = None
         self.asked_at = -1e9
         self.waiting_since: float | None = None
-        self.heard: Callable[[Hello, float], None] = lambda hello, asked_at: None
+        self.heard: Callable[[Heartbeat, float], None] = lambda heartbeat, asked_at: None
         self._sent: list[float] = []
 
-    async def ask(self, hello: Hello, timeout: float) -> None:
+    async def ask(self, heartbeat: Heartbeat, timeout: float) -> None:
         """Send our view; the answer arrives later or never."""
         if self.waiting_since is None:
             self.waiting_since = steady()
@@ -148,29 +148,29 @@
             self.connection = None
             return
         self._sent.append(steady())
-        self.connection.send(hello)
+        self.connection.send(heartbeat)
 
-    def _answered(self, connection: PeerConnection, hello: Hello) -> None:
+    def _answered(self, connection: PeerConnection, heartbeat: Heartbeat) -> None:
         if connection is not self.connection or not self._sent:
             return
-        if hello.node != self.peer.node:
+        if heartbeat.node != self.peer.node:
             connection.drop("another node's answer")
             return
         self.waiting_since = None
         self.asked_at = self._sent.pop(0)
-        self.answer = hello
-        self.heard(hello, self.asked_at)
+        self.answer = heartbeat
+        self.heard(heartbeat, self.asked_at)
 
 
 class Link(Protocol):
     """A way to ask one peer."""
 
-    answer: Hello | None
+    answer: Heartbeat | None
     asked_at: float
     waiting_since: float | None  # asked since then with neither an answer nor a refusal
-    heard: Callable[[Hello, float], None]  # called with each answer and when it was asked for
+    heard: Callable[[Heartbeat, float], None]  # called with each answer and when it was asked for
 
-    async def ask(self, hello: Hello, timeout: float) -> None:
+    async def ask(self, heartbeat: Heartbeat, timeout: float) -> None:
         """Send our view."""
 
 
@@ -180,8 +180,8 @@
     def __init__(
         self,
         links: Sequence[Link],
-        own_view: Callable[[], Hello],
-        seen: Callable[[Hello], None],
+        own_view: Callable[[], Heartbeat],
+        seen: Callable[[Heartbeat], None],
         cancellations: Cancellations,
     ) -> None:
         self.links = links
@@ -197,40 +197,46 @@
         loop = asyncio.get_running_loop()
         return await loop.create_server(lambda: PeerConnection(self._asked), address.host, address.port)
 
-    def _asked(self, connection: PeerConnection, hello: Hello) -> None:
-        connection.send(self.reply(hello))
+    def _asked(self, connection: PeerConnection, heartbeat: Heartbeat) -> None:
+        connection.send(self.reply(heartbeat))
 
-    def reply(self, hello: Hello) -> Hello:
+    def reply(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take in a peer's view and give ours, with the cancellations that it doesn't know yet."""
-        self.seen(hello)
+        self.seen(heartbeat)
         view = self.own_view()
-        start = hello.taken if hello.taken_run == view.run else 0
+        start = heartbeat.taken if heartbeat.taken_run == view.run else 0
         first, entries = self.cancellations.piece(start, PIECE)
         total = self.cancellations.total
         return msgspec.structs.replace(view, first=first, total=total, cancelled=tuple(entries))
 
-    def _heard(self, knowledge: PeerKnowledge, hello: Hello, asked_at: float) -> None:
+    def _heard(self, knowledge: PeerKnowledge, heartbeat: Heartbeat, asked_at: float) -> None:
         """Enter what a peer knows of cancellations, before the answer counts for anything."""
         fresh = knowledge.take(
-            hello.run, hello.has_read, hello.whole_age, hello.first, hello.total, hello.cancelled, asked_at
+            heartbeat.run,
+            heartbeat.has_read,
+            heartbeat.whole_age,
+            heartbeat.first,
+            heartbeat.total,
+            heartbeat.cancelled,
+            asked_at,
         )
         for job_id in fresh:
             self.cancellations.learn(job_id, steady())
-        self.seen(hello)
+        self.seen(heartbeat)
 
     async def run(self, every: float) -> None:
         """Ask every peer again and again."""
         while True:
-            hello = self.own_view()
+            heartbeat = self.own_view()
             await asyncio.gather(
                 *(
-                    link.ask(msgspec.structs.replace(hello, taken_run=known.run, taken=known.taken), every)
+                    link.ask(msgspec.structs.replace(heartbeat, taken_run=known.run, taken=known.taken), every)
                     for link, known in zip(self.links, self.knowledge, strict=True)
                 )
             )
             await asyncio.sleep(every)
 
-    def answers(self, since: float) -> list[tuple[Hello, float]]:
+    def answers(self, since: float) -> list[tuple[Heartbeat, float]]:
         """Answers to what was asked after ``since``, with the time of asking."""
         return [
             (link.answer, link.asked_at) for link in self.links if link.answer is not None and link.asked_at >= since
--- a/src/passrock/wire/cloud.py
+++ b/src/passrock/wire/cloud.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from passrock.core.messages import Listed
-from passrock.core.model import Amount, MachineType
+from passrock.core.messages import ListedMachine
+from passrock.core.model import MachineType, Resources
 from passrock.wire import cbor
 
 TYPES_PATH = "/machine_types"
@@ -70,7 +70,7 @@
     return {
         row.name: MachineType(
             name=row.name,
-            size=Amount(row.cpus, row.gpus, row.memory),
+            size=Resources(row.cpus, row.gpus, row.memory),
             cache_gb=row.cache_gb,
             fetch_rate=row.fetch_rate,
             price=row.price,
@@ -102,8 +102,8 @@
     return f"{RENTALS_PATH}?after={after}&page={PAGE}" if after else f"{RENTALS_PATH}?page={PAGE}"
 
 
-def parse_list(body: bytes) -> tuple[list[Listed], bool]:
+def parse_list(body: bytes) -> tuple[list[ListedMachine], bool]:
     """One page of the machine list, and whether more follows."""
     page = cbor.decode(body, _Machines)
-    rows = [Listed(row.name, row.type, row.zone, row.spot, row.status, row.age) for row in page.machines]
+    rows = [ListedMachine(row.name, row.type, row.zone, row.spot, row.status, row.age) for row in page.machines]
     return rows, page.truncated is True
--- a/src/passrock/wire/users.py
+++ b/src/passrock/wire/users.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from passrock.core.model import Amount, Kind, Priority, Spec
+from passrock.core.model import Kind, Priority, Resources, Spec
 from passrock.wire import cbor
 
 RUNS_PATH = "/v2/runs"
@@ -92,7 +92,7 @@
         kind=kind,
         priority=priority,
         tasks=message.tasks,
-        need=Amount(message.cpus, message.gpus, message.memory),
+        need=Resources(message.cpus, message.gpus, message.memory),
         image=message.image,
         image_gb=message.image_gb,
         types=message.types,
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -124,9 +124,9 @@
         self.answer = None
         self.asked_at = -1e9
         self.waiting_since = None
-        self.heard = lambda hello, asked_at: None
+        self.heard = lambda heartbeat, asked_at: None
 
-    async def ask(self, hello, timeout):
+    async def ask(self, heartbeat, timeout):
         other = self.world.nodes.get(self.peer)
         sent = self.world.now()
         dead = other is None or not other.alive
@@ -137,7 +137,7 @@
         while other.frozen_until > self.world.now():
             await asyncio.sleep(other.frozen_until - self.world.now())
         if other.alive and other is self.world.nodes.get(self.peer):
-            self.answer = other.node.peers.reply(hello)
+            self.answer = other.node.peers.reply(heartbeat)
             self.asked_at = sent
             self.waiting_since = None
             self.heard(self.answer, sent)
--- a/tests/tables.py
+++ b/tests/tables.py
@@ -4,11 +4,11 @@
 from passrock.core.fleet import Fleet
 from passrock.core.jobs import Book, new_record
 from passrock.core.messages import Report, TaskReport, TaskState
-from passrock.core.model import NOTHING, Amount, Kind, MachineType, Priority, Spec, Team
+from passrock.core.model import NOTHING, Kind, MachineType, Priority, Resources, Spec, Team
 from passrock.core.placement import Placer
 from passrock.core.preemption import Preemption
 
-BOX = MachineType("box", Amount(16, 2, 64), 100.0, 1.0, 5.0, 1.5, 10.0, ("a", "b", "c"))
+BOX = MachineType("box", Resources(16, 2, 64), 100.0, 1.0, 5.0, 1.5, 10.0, ("a", "b", "c"))
 TEAMS = {name: Team(name, 0, 0, 4, 8) for name in ("t0", "t1")}
 AIMS = Aims(
     (
@@ -30,7 +30,7 @@
         "kind": Kind.ARRAY,
         "priority": Priority.NORMAL,
         "tasks": 1,
-        "need": Amount(5, 1, 20),
+        "need": Resources(5, 1, 20),
         "image": "img",
         "image_gb": 2.0,
         "types": None,
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -6,9 +6,9 @@
 import pytest
 
 from passrock.core.cancellations import NEVER, Cancellations, PeerKnowledge, renewal_horizon, whole_until
-from passrock.io.peers import Hello, PeerConnection, Peers, frame
+from passrock.io.peers import Heartbeat, PeerConnection, Peers, frame
 
-ME = Hello("n0", 1, False, False, True, run=7)
+ME = Heartbeat("n0", 1, False, False, True, run=7)
 
 
 @pytest.mark.parametrize(
@@ -89,15 +89,15 @@
     known = Cancellations(1e6)
     for number in range(250):
         known.learn(f"wk-{number:018d}", 0.0)
-    peers = Peers([], lambda: ME, lambda hello: None, known)
+    peers = Peers([], lambda: ME, lambda heartbeat: None, known)
     got, taken = [], 0
     while taken < 250:
-        reply = peers.reply(Hello("n1", 1, False, False, True, taken_run=7, taken=taken))
+        reply = peers.reply(Heartbeat("n1", 1, False, False, True, taken_run=7, taken=taken))
         assert len(frame(reply)) < 16 * 1024
         got += reply.cancelled
         taken = reply.first + len(reply.cancelled)
     assert got == [f"wk-{number:018d}" for number in range(250)]
-    assert peers.reply(Hello("n1", 1, False, False, True, taken_run=6, taken=250)).first == 0  # of a former life
+    assert peers.reply(Heartbeat("n1", 1, False, False, True, taken_run=6, taken=250)).first == 0  # of a former life
 
 
 BAD = [
@@ -122,7 +122,7 @@
 @pytest.mark.parametrize("body", BAD)
 def test_a_message_that_cannot_be_ends_nothing_and_counts_for_nothing(body):
     got = []
-    connection = PeerConnection(lambda _, hello: got.append(hello))
+    connection = PeerConnection(lambda _, heartbeat: got.append(heartbeat))
     connection.data_received(frame(ME)[:5])
     connection.data_received(frame(ME)[5:])
     connection.data_received(len(body).to_bytes(4, "big") + body)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,7 @@
 from passrock.core.checkin import Checkins
 from passrock.core.jobs import Book, new_record
 from passrock.core.messages import Op, TaskState
-from passrock.core.model import NOTHING, Amount, Kind, Priority, Team
+from passrock.core.model import NOTHING, Kind, Priority, Resources, Team
 from passrock.core.preemption import stop_softly
 from passrock.core.records import chunk_tasks
 from passrock.core.renting import Market, Offer, plan_rentals, plan_returns
@@ -94,7 +94,7 @@
 
 def test_gang_ends_whole_and_starts_whole():
     desk = Desk([(f"m{i}", "a", False) for i in range(3)])
-    job = desk.job(kind=Kind.GANG, tasks=3, need=Amount(10, 2, 50))
+    job = desk.job(kind=Kind.GANG, tasks=3, need=Resources(10, 2, 50))
     assert len(desk.run()) == 3
     assert {live.attempt for live in job.lives()} == {1}
     for live in job.lives():
@@ -112,7 +112,7 @@
 
 def test_impatient_gang_task_waits_on():
     desk = Desk([("m1", "a", False), ("m2", "a", False)])
-    job = desk.job(kind=Kind.GANG, tasks=2, need=Amount(10, 2, 50))
+    job = desk.job(kind=Kind.GANG, tasks=2, need=Resources(10, 2, 50))
     desk.run()
     desk.commit()
     checkins = Checkins(desk.book, desk.fleet, TERM)
@@ -155,7 +155,7 @@
 def test_strays_count_against_limits_and_their_task():
     desk = Desk([("m1", "a", False), ("m2", "a", False)])
     desk.job()
-    desk.fleet.machines["m2"].strays = {("wk-1", 0): Amount(5, 1, 20)}
+    desk.fleet.machines["m2"].strays = {("wk-1", 0): Resources(5, 1, 20)}
     assert desk.run() == []
     desk.fleet.machines["m2"].strays = {}
     assert desk.run() == [("wk-1", 0, "m1")]
@@ -246,10 +246,12 @@
 )
 def test_preemption_has_reasons(victim, job, displaced):
     desk = Desk()
-    desk.job(1, need=Amount(5, 1, 20), **victim)
+    desk.job(1, need=Resources(5, 1, 20), **victim)
     desk.run()
-    waiting = desk.job(2, at=1.0, **{"need": Amount(5, 1, 20), "job_class": "now", **job})
-    desk.job(3, at=0.5, team="t1", need=Amount(5, 1, 20), tasks=1, priority=victim.get("priority", Priority.NORMAL))
+    waiting = desk.job(2, at=1.0, **{"need": Resources(5, 1, 20), "job_class": "now", **job})
+    desk.job(
+        3, at=0.5, team="t1", need=Resources(5, 1, 20), tasks=1, priority=victim.get("priority", Priority.NORMAL)
+    )
     desk.run(1.0)
     if waiting.live_count:
         desk.book.gone(next(waiting.lives()), 1.0)
@@ -289,16 +291,16 @@
 def test_room_is_kept_for_a_gang_that_has_waited_long():
     """Small tasks took each machine as it came free, and the gang never saw two at once."""
     desk = Desk([("m1", "a", False), ("m2", "a", False)])
-    small = [desk.job(n, team="t1", need=Amount(10, 2, 50), job_class="soon") for n in (1, 2)]
+    small = [desk.job(n, team="t1", need=Resources(10, 2, 50), job_class="soon") for n in (1, 2)]
     assert len(desk.run(0.0)) == 2
-    desk.job(9, kind=Kind.GANG, tasks=2, need=Amount(10, 2, 50), one_zone=True, at=1.0)
+    desk.job(9, kind=Kind.GANG, tasks=2, need=Resources(10, 2, 50), one_zone=True, at=1.0)
     for turn in range(3, 9):  # one small task ends at a time, and another one waits
         now = 10.0 * turn
         desk.refresh(now)
         for name, machine in desk.fleet.machines.items():
             machine.used = BOX.size if desk.book.held.get(name) else NOTHING
         desk.book.completed(next(small.pop(0).lives()))
-        small.append(desk.job(turn, team="t1", need=Amount(10, 2, 50), job_class="soon", at=now))
+        small.append(desk.job(turn, team="t1", need=Resources(10, 2, 50), job_class="soon", at=now))
         for name, machine in desk.fleet.machines.items():
             machine.used = BOX.size if desk.book.held.get(name) else NOTHING
         if {job for job, _, _ in desk.run(now)} == {"wk-9"}:
@@ -427,7 +429,7 @@
     [
         ({}, False),
         ({"team": "nobody"}, True),
-        ({"need": Amount(17, 1, 1)}, True),
+        ({"need": Resources(17, 1, 1)}, True),
         ({"types": ("other",)}, True),
         ({"zone": "z"}, True),
         ({"tasks": 100}, False),
@@ -441,8 +443,8 @@
 
 
 def test_limits_of_zero_are_none():
-    assert Team("t", 0, 0, 0, 0).within_limit(Amount(1e6, 1e6, 0))
-    assert not Team("t", 0, 0, 0, 0).within_guarantee(Amount(1, 0, 0))
+    assert Team("t", 0, 0, 0, 0).within_limit(Resources(1e6, 1e6, 0))
+    assert not Team("t", 0, 0, 0, 0).within_guarantee(Resources(1, 0, 0))
 
 
 def test_limiter_follows_measured_times():
@@ -473,7 +475,7 @@
 def test_a_displaced_gang_is_stopped_whole():
     """Every mate is told to stop with time to save, also those on machines that nobody asked for."""
     desk = Desk([("m1", "a", False), ("m2", "a", False)])
-    gang = desk.job(1, kind=Kind.GANG, tasks=2, need=Amount(10, 2, 50), team="t1", checkpoint=5.0, save=3.0)
+    gang = desk.job(1, kind=Kind.GANG, tasks=2, need=Resources(10, 2, 50), team="t1", checkpoint=5.0, save=3.0)
     desk.run()
     for live in gang.lives():
         live.state, live.seen = TaskState.RUNNING, True
@@ -503,10 +505,10 @@
     """Guaranteed gangs waited for a minute beside machines full of work of a team without a guarantee."""
     desk = Desk([(f"m{n}", "a", False) for n in range(tasks)])
     desk.placer.teams = {**TEAMS, "guest": Team("guest", 0, 0, 0, 8)}
-    desk.job(1, team=team, priority=priority, tasks=4 * tasks, need=Amount(4, 0, 10), checkpoint=30.0, save=3.0)
+    desk.job(1, team=team, priority=priority, tasks=4 * tasks, need=Resources(4, 0, 10), checkpoint=30.0, save=3.0)
     desk.run()
     gang = desk.job(
-        2, at=1.0, kind=kind, tasks=tasks, need=Amount(14, 2, 50), priority=Priority.HIGH, job_class="late"
+        2, at=1.0, kind=kind, tasks=tasks, need=Resources(14, 2, 50), priority=Priority.HIGH, job_class="late"
     )
     assert desk.run(1.0) == []
     victims = desk.preemption.make_room(gang, 1.0, early=True)
@@ -517,11 +519,11 @@
 def test_elastic_work_is_left_alone_when_its_room_is_not_enough():
     desk = Desk([("m1", "a", False), ("m2", "a", False)])
     desk.placer.teams = {**TEAMS, "guest": Team("guest", 0, 0, 0, 8)}
-    desk.job(1, team="t1", priority=Priority.HIGH, tasks=1, need=Amount(16, 2, 60))
+    desk.job(1, team="t1", priority=Priority.HIGH, tasks=1, need=Resources(16, 2, 60))
     desk.run()
-    desk.job(2, team="guest", priority=Priority.LOW, tasks=4, need=Amount(4, 0, 10))
+    desk.job(2, team="guest", priority=Priority.LOW, tasks=4, need=Resources(4, 0, 10))
     desk.run()
-    gang = desk.job(3, at=1.0, kind=Kind.GANG, tasks=2, need=Amount(14, 2, 50), priority=Priority.HIGH)
+    gang = desk.job(3, at=1.0, kind=Kind.GANG, tasks=2, need=Resources(14, 2, 50), priority=Priority.HIGH)
     assert desk.run(1.0) == [] and desk.preemption.make_room(gang, 1.0) == []
 
 
