--- /dev/null
+++ b/tests/test_checkins.py
@@ -0,0 +1,222 @@
+"""Reports against the records: what counts as evidence, and what workers are told."""
+
+import pytest
+
+from passrock.core.checkin import Checkins
+from passrock.core.messages import Op, TaskState
+from passrock.core.model import Kind, Resources
+from passrock.core.preemption import stop_softly
+from tables import BOX, TERM, Desk, report, row
+
+EXITED = TaskState.EXITED
+
+
+def placed_desk(**fields):
+    """One job placed and committed on m1, its launch sent in answer to report 1."""
+    desk = Desk()
+    job = desk.job(**fields)
+    desk.run()
+    desk.commit()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    commands = handle(desk, checkins, seq=2)
+    assert [c.op for c in commands] == [Op.START] * job.live_count
+    return desk, job, checkins
+
+
+def handle(desk, checkins, now=1.0, launch=True, **fields):
+    told = report(**fields)
+    machine = desk.fleet.observe(told, BOX, now)
+    return [] if machine is None else checkins.handle(machine, told, now, launch)
+
+
+# What a report shows -> commands, and whether the attempt still counts as possibly there.
+REPORTS = [
+    ("running", {"seq": 3, "tasks": [row()]}, [], True),
+    ("not listed, later report: the launch was dropped, so again", {"seq": 3}, [Op.START], True),
+    ("an older report is nothing new", {"seq": 1}, [], True),
+    ("a later session has forgotten it", {"session": 2, "seq": 3}, [], False),
+    ("completed", {"seq": 3, "tasks": [row(state=EXITED, why="done")]}, [], False),
+    ("stopped", {"seq": 3, "tasks": [row(state=EXITED, why="stopped")]}, [], False),
+    ("another attempt runs there", {"seq": 3, "tasks": [row(attempt=9)]}, [Op.STOP, Op.START], True),
+    ("a job nobody knows", {"seq": 3, "tasks": [row(), row(job="wk-99")]}, [Op.STOP], True),
+]
+
+
+@pytest.mark.parametrize(("name", "told", "ops", "there"), REPORTS, ids=[case[0] for case in REPORTS])
+def test_reports(name, told, ops, there):
+    desk, job, checkins = placed_desk()
+    assert [c.op for c in handle(desk, checkins, **told)] == ops
+    assert (job.live_count == 1) is there
+
+
+def test_absence_needs_a_report_of_this_term():
+    """A held-back report of an older term proves nothing: a former leader may have launched after it."""
+    desk, job, checkins = placed_desk()
+    desk.book.cancel(job, 0.0)
+    handle(desk, checkins, seq=3, token=TERM - 1)
+    assert job.live_count == 1
+    handle(desk, checkins, seq=4, token=TERM)
+    assert job.live_count == 0 and "wk-1" in desk.book.finishing
+
+
+def test_exits_in_reports_of_older_terms():
+    """A held-back exit may be of an attempt that was started again since; completion is final."""
+    for why, there in (("alone", True), ("stopped", True), ("done", False)):
+        desk, job, checkins = placed_desk()
+        next(job.lives()).stop = 0.0
+        assert handle(desk, checkins, seq=3, token=TERM - 1, tasks=[row(state=EXITED, why=why)]) == []
+        assert (job.live_count == 1) is there
+
+
+def test_no_launch_before_the_commit_nor_without_firm_leadership():
+    desk = Desk()
+    desk.job()
+    desk.run()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    assert handle(desk, checkins, seq=2) == []
+    desk.commit()
+    assert handle(desk, checkins, seq=3, launch=False) == []
+    assert [c.op for c in handle(desk, checkins, seq=4)] == [Op.START]
+
+
+def test_forget_only_what_is_committed():
+    desk, _, checkins = placed_desk()
+    done = [row(state=EXITED, why="done")]
+    assert handle(desk, checkins, seq=3, tasks=done) == []
+    desk.commit()
+    assert [c.op for c in handle(desk, checkins, seq=4, tasks=done)] == [Op.FORGET]
+
+
+def test_gang_ends_whole_and_starts_whole():
+    desk = Desk([(f"m{i}", "a", False) for i in range(3)])
+    job = desk.job(kind=Kind.GANG, tasks=3, need=Resources(10, 2, 50))
+    assert len(desk.run()) == 3
+    assert {live.attempt for live in job.lives()} == {1}
+    for live in job.lives():
+        live.seen = True
+    first = next(job.lives())
+    desk.book.gone(first, 5.0)
+    assert [live.stop for live in job.lives()] == [0.0, 0.0]
+    assert desk.run(6.0) == []  # not before every task of the old attempt is gone
+    for live in list(job.lives()):
+        desk.book.gone(live, 7.0)
+    desk.refresh(7.0)
+    assert len(desk.run(7.0)) == 3
+    assert {live.attempt for live in job.lives()} == {2}
+
+
+def test_impatient_gang_task_waits_on():
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    job = desk.job(kind=Kind.GANG, tasks=2, need=Resources(10, 2, 50))
+    desk.run()
+    desk.commit()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    handle(desk, checkins, seq=2)
+    index = next(live.index for live in job.lives() if live.machine == "m1")
+    alone = [row(index=index, state=EXITED, why="alone")]
+    assert [c.op for c in handle(desk, checkins, seq=3, tasks=alone)] == [Op.FORGET, Op.START]
+    assert job.live_count == 2
+    next(live for live in job.lives() if live.machine == "m2").stop = 0.0
+    next(live for live in job.lives() if live.machine == "m1").stop = 0.0
+    assert [c.op for c in handle(desk, checkins, seq=4, tasks=alone)] == []
+    assert job.live_count == 0  # this one ended, and the other was never launched
+
+
+# reports in a row (session, seq, token, whether the launch is listed), whether the machine may be used after them
+HEARING = [
+    ("a first report shows no token of this term", [(1, 1, 0, False)], False),
+    ("the next one does", [(1, 1, 0, False), (1, 2, TERM, False)], True),
+    ("a new session though it was answered, once", [(1, 1, TERM, False), (2, 2, TERM, False)], True),
+    ("and again", [(1, 1, TERM, False), (2, 2, TERM, False), (3, 3, TERM, False)], False),
+    ("launches without effect", [(1, n, TERM, False) for n in (1, 2, 3, 4)], False),
+    ("a launch that took effect at last", [(1, 1, TERM, False), (1, 2, TERM, False), (1, 3, TERM, True)], True),
+]
+
+
+@pytest.mark.parametrize(("name", "told", "used"), HEARING, ids=[case[0] for case in HEARING])
+def test_only_machines_that_hear_are_used(name, told, used):
+    desk = Desk([])
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    desk.job()
+    for step, (session, seq, token, listed) in enumerate(told):
+        handle(desk, checkins, float(step), session=session, seq=seq, token=token, tasks=[row()] if listed else [])
+        desk.fleet.machines["m1"].answered = float(step)
+        desk.run(float(step))
+        desk.commit()
+    assert desk.fleet.usable(desk.fleet.machines["m1"], float(len(told))) is used
+
+
+@pytest.mark.parametrize(
+    ("answered", "fenced", "now", "up", "over"),
+    [
+        (0.0, None, 100.0, True, False),
+        (0.0, 0.0, 10.5, True, False),
+        (0.0, 0.0, 11.1, True, True),
+        (0.0, 50.0, 60.0, True, False),
+        # cut off across a takeover: its tasks, and the mates of its gangs, once waited until it was deleted
+        (0.0, 2.0, 11.1, False, False),
+        (0.0, 2.0, 13.1, False, True),
+    ],
+)
+def test_lease_evidence(answered, fenced, now, up, over):
+    desk = Desk()
+    machine = desk.fleet.machines["m1"]
+    machine.answered, machine.up = answered, up
+    assert desk.fleet.lease_over(machine, now, fenced) is over
+
+
+def test_faulty_machine_or_faulty_job():
+    desk = Desk([("m1", "a", False), ("m2", "a", False)])
+    job = desk.job()
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    for seq in (2, 4):
+        desk.refresh(float(seq))
+        desk.run(float(seq))
+        desk.commit()
+        live = next(job.lives())
+        handle(desk, checkins, machine=live.machine, seq=seq, now=float(seq))
+        failed = [row(attempt=live.attempt, state=EXITED, why="error")]
+        handle(desk, checkins, machine=live.machine, seq=seq + 1, now=float(seq), tasks=failed)
+    assert job.avoid == {"m1", "m2"} and job.not_before > 4.0  # failed on both: the job waits longer and longer
+    assert all(machine.blocked_until > 4.0 for machine in desk.fleet.machines.values())
+
+
+def fail_on(desk, checkins, job, machine, now):
+    """One of the job's tasks is started on a machine and fails there."""
+    live = desk.book.start(job, 0, desk.fleet.machines[machine], job.attempt_for(0), now)
+    live.sent_seq = 0
+    state = desk.fleet.machines[machine]
+    failed = row(job.spec.id, 0, live.attempt, TaskState.EXITED, "error")
+    handle(desk, checkins, now, machine=machine, seq=state.seq + 1, tasks=[failed])
+
+
+def test_a_faulty_job_is_told_from_a_faulty_machine():
+    """Machines on which two jobs had failed were replaced, also where both jobs fail wherever they start."""
+    desk = Desk([("m1", "a", False), ("m2", "a", False), ("m3", "a", False)])
+    checkins = Checkins(desk.book, desk.fleet, TERM)
+    first, second, sound, other = (desk.job(number) for number in (1, 2, 3, 4))
+    for now, machine in enumerate(("m1", "m2")):
+        fail_on(desk, checkins, first, machine, float(now))
+    assert first.is_suspect and first.not_before > 1.0  # it is tried again, later
+    blocked = desk.fleet.machines["m3"].blocked_until
+    fail_on(desk, checkins, first, "m3", 2.0)
+    assert desk.fleet.machines["m3"].blocked_until == blocked  # and blocks nothing any more
+    for now, machine in enumerate(("m2", "m1"), start=3):
+        fail_on(desk, checkins, second, machine, float(now))
+    m1 = desk.fleet.machines["m1"]
+    assert len(m1.failed_jobs) == 2 and desk.book.failures_against(m1) == 0
+    fail_on(desk, checkins, sound, "m1", 5.0)
+    fail_on(desk, checkins, other, "m1", 6.0)
+    assert desk.book.failures_against(m1) == 2
+
+
+def test_stops_save_when_there_is_something_to_save():
+    desk, job, checkins = placed_desk(checkpoint=5.0, save=3.0)
+    live = next(job.lives())
+    handle(desk, checkins, seq=3, tasks=[row()])
+    stop_softly(live, 6.0)
+    assert [(c.op, c.grace) for c in handle(desk, checkins, seq=4, tasks=[row()])] == [(Op.STOP, 6.0)]
+    saving = [row(state=TaskState.SAVING)]
+    assert handle(desk, checkins, seq=5, tasks=saving) == []  # a second stop would end the saving
+    desk.book.cancel(job, 0.0)
+    assert [(c.op, c.grace) for c in handle(desk, checkins, seq=6, tasks=saving)] == [(Op.STOP, 0.0)]
--- /dev/null
+++ b/tests/test_renting_and_admission.py
@@ -0,0 +1,111 @@
+"""What is rented and given back, and what is taken in."""
+
+import pytest
+
+from passrock.core.admission import Limiter, fault
+from passrock.core.budget import Budget
+from passrock.core.messages import TaskState
+from passrock.core.model import Kind, Resources, Team
+from passrock.core.renting import Market, Offer, plan_rentals, plan_returns
+from tables import AIMS, BOX, TEAMS, Desk, spec
+
+EXITED = TaskState.EXITED
+
+
+# waiting jobs -> machines to rent
+RENTALS = [
+    ([{"tasks": 3}], {Offer("box", "a", False): 2}),
+    ([{"tasks": 3, "spot": True}], {Offer("box", "a", True): 2}),
+    ([{"tasks": 3, "kind": Kind.GANG, "one_zone": True}], {Offer("box", "a", False): 2}),
+    ([{"tasks": 20}], {Offer("box", "a", False): 4}),  # up to the team's limit
+    ([{"zone": "b"}], {Offer("box", "b", False): 1}),
+]
+
+
+@pytest.mark.parametrize(("jobs", "wanted"), RENTALS)
+def test_rentals(jobs, wanted):
+    desk = Desk([])
+    for number, fields in enumerate(jobs):
+        desk.job(number, **fields)
+    queue = desk.placer.queue(0.0)
+    market = Market({"box": BOX})
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 0.0) == wanted
+    for offer in wanted:  # machines on their way are enough
+        for i in range(wanted[offer]):
+            desk.fleet.add(f"new{i}", BOX, offer.zone, offer.spot, 0.0)
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 0.0) == {}
+
+
+def test_refused_offers_rest_and_dear_ones_wait_until_needed():
+    desk = Desk([])
+    desk.job(1, spot=True, job_class="late")
+    market = Market({"box": BOX})
+    for zone in BOX.zones:
+        market.refuse(Offer("box", zone, True), 50.0)
+    queue = desk.placer.queue(0.0)
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 0.0) == {}
+    late = plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 285.0)
+    assert late == {Offer("box", "a", True): 1}  # no longer refused by then
+    for zone in BOX.zones:
+        market.refuse(Offer("box", zone, True), 500.0)
+    assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 285.0) == {Offer("box", "a", False): 1}
+
+
+def test_returns():
+    desk = Desk([("m1", "a", False), ("m2", "a", True), ("m3", "a", False)])
+    desk.job()
+    desk.run()
+    for machine in desk.fleet.machines.values():
+        machine.since = -100.0
+    patience = {"box": 10.0}
+    going = [m.name for m in plan_returns(desk.fleet, desk.book, patience, 12.0)]
+    assert len(going) == 1 and going[0] in ("m1", "m3")  # the busy one and the cheap one stay
+    assert len(plan_returns(desk.fleet, desk.book, patience, 40.0)) == 2
+
+
+@pytest.mark.parametrize(
+    ("fields", "refused"),
+    [
+        ({}, False),
+        ({"team": "nobody"}, True),
+        ({"need": Resources(17, 1, 1)}, True),
+        ({"types": ("other",)}, True),
+        ({"zone": "z"}, True),
+        ({"tasks": 100}, False),
+        ({"tasks": 9, "kind": Kind.GANG}, True),
+        ({"tasks": 9, "kind": Kind.SERVICE}, True),
+        ({"tasks": 8, "kind": Kind.GANG}, False),
+    ],
+)
+def test_jobs_that_can_never_run(fields, refused):
+    assert (fault(spec(**fields), TEAMS, {"box": BOX}) is not None) is refused
+
+
+def test_limits_of_zero_are_none():
+    assert Team("t", 0, 0, 0, 0).within_limit(Resources(1e6, 1e6, 0))
+    assert not Team("t", 0, 0, 0, 0).within_guarantee(Resources(1, 0, 0))
+
+
+def test_limiter_follows_measured_times():
+    limiter = Limiter(start=4, least=2, most=64, slack=0.01)
+    assert [limiter.enter() for _ in range(5)] == [True] * 4 + [False]
+    for _ in range(4):
+        limiter.leave(0.01, False)
+    for _ in range(400):
+        while limiter.enter():
+            pass
+        while limiter.busy:
+            limiter.leave(0.01, False)
+    assert limiter.limit == 64
+    for _ in range(200):
+        limiter.enter()
+        limiter.leave(1.0, False)
+    assert limiter.limit == 2
+    assert 1 <= limiter.retry_after() <= 30
+
+
+def test_budget_spreads_what_exceeds_the_rate():
+    budget = Budget(10.0, 5.0)
+    waits = [budget.take(0.0, 1) for _ in range(8)]
+    assert waits[:5] == [0.0] * 5 and waits[5:] == pytest.approx([0.1, 0.2, 0.3])
+    assert budget.take(10.0, 1) == 0.0
