--- a/tests/standins/loopback.py
+++ b/tests/standins/loopback.py
@@ -10,7 +10,8 @@
 from passrock.io.http_client import HttpClient, NoAnswerError
 from passrock.io.http_server import HttpServer, Response
 from passrock.settings import Address
-from standins.world import World, node_table
+from standins.deployment import node_table
+from standins.world import World
 
 ROOT = Path(__file__).resolve().parents[2]
 
--- /dev/null
+++ b/tests/standins/sim_node.py
@@ -0,0 +1,128 @@
+"""One incarnation of a real controller in the simulated world, and its links to services and peers."""
+
+import asyncio
+import contextvars
+import random
+
+from passrock.controller.node import Node
+from passrock.core.budget import Budget
+from passrock.io.cloud import CloudClient
+from passrock.io.http_client import NoAnswerError
+from passrock.io.http_server import Response
+from passrock.io.state import StateClient
+from passrock.settings import Operator, parse_settings
+from standins import virtual_loop
+from standins.deployment import node_table
+
+
+class ServiceLink:
+    """A node's connection to a stand-in service, with delays, outages, lost answers and late requests."""
+
+    def __init__(self, world, node, service, state):
+        self.world, self.node, self.service, self.is_state = world, node, service, state
+        self.sent = 0  # changing requests so far
+
+    async def request(self, method, path, body=b"", timeout=2.0):
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._carry(method, path, body)
+        except TimeoutError as error:
+            raise NoAnswerError("no response") from error
+
+    async def _carry(self, method, path, body):
+        world, rng = self.world, self.world.rng
+        if not self.node.alive:
+            await asyncio.Event().wait()
+        await asyncio.sleep(rng.uniform(0.001, 0.006) + (world.state_delay if self.is_state else 0.0))
+        watch = path.startswith("/changes")
+        while self.is_state and watch and self.node.refused:
+            await asyncio.sleep(0.2)
+        if self.is_state and self.node.refused:
+            return 503, b""
+        changing = method != "GET"
+        self.sent += changing
+        if changing and rng.random() < world.late_share:
+            asyncio.get_running_loop().call_later(rng.uniform(1.0, 20.0), self._late, self.sent, method, path, body)
+            await asyncio.Event().wait()
+        status, answer = await self.service.handle(method, path, body)
+        while self.is_state and watch and self.node.refused:  # a watch that was open waits as in an outage
+            await asyncio.sleep(0.2)
+        if changing and rng.random() < world.lost_share:
+            await asyncio.Event().wait()
+        await asyncio.sleep(rng.uniform(0.001, 0.004))
+        if not self.node.alive:
+            await asyncio.Event().wait()
+        return status, answer
+
+    def _late(self, number, method, path, body):
+        if self.is_state and self.sent > number:
+            self.world.state.late_after_newer += 1
+        self.world.spawn(self.service.handle(method, path, body))
+
+
+class SimLink:
+    """A node's way to ask one peer."""
+
+    def __init__(self, world, node, peer):
+        self.world, self.node, self.peer = world, node, peer
+        self.answer = None
+        self.asked_at = -1e9
+        self.waiting_since = None
+        self.heard = lambda heartbeat, asked_at: None
+
+    async def ask(self, heartbeat, timeout):
+        other = self.world.nodes.get(self.peer)
+        sent = self.world.now()
+        dead = other is None or not other.alive
+        self.waiting_since = None if dead else sent if self.waiting_since is None else self.waiting_since
+        if dead or not self.node.alive or self.world.peers_cut(self.node.name, self.peer):
+            return
+        await asyncio.sleep(self.world.rng.uniform(0.001, 0.01))
+        while other.frozen_until > self.world.now():
+            await asyncio.sleep(other.frozen_until - self.world.now())
+        if other.alive and other is self.world.nodes.get(self.peer):
+            self.answer = other.node.peers.reply(heartbeat)
+            self.asked_at = sent
+            self.waiting_since = None
+            self.heard(self.answer, sent)
+
+
+class SimNode:
+    """One incarnation of a controller process."""
+
+    def __init__(self, world, number):
+        self.world, self.number, self.name = world, number, f"n{number}"
+        self.alive, self.refused = True, False
+        self.frozen_until = 0.0
+        self.context = contextvars.copy_context()
+        self.context.run(virtual_loop.OWNER.set, self)
+        faults = []
+        table = node_table(number, world.node_count, world.zones, world.teams, world.guarantee, world.limits)
+        settings = parse_settings(table, Operator(), faults)
+        assert not faults, faults
+        self.zone = settings.zone
+        rng = random.Random(world.rng.random())
+        state = StateClient(
+            ServiceLink(world, self, world.state, True),
+            ServiceLink(world, self, world.state, True),
+            Budget(100.0, 100.0),
+            Budget(40.0, 40.0),
+        )
+        cloud = CloudClient(ServiceLink(world, self, world.cloud, False), Budget(5.0, 6.0))
+        links = [SimLink(world, self, peer.node) for peer in settings.peers]
+        self.node = Node(settings, state, cloud, links, rng)
+        self.work = self.context.run(asyncio.ensure_future, self.node.work())
+
+    async def answer(self, request):
+        """Handle a request as soon as the process doesn't stand still: until then it waits in a socket."""
+        while self.frozen_until > self.world.now():
+            await asyncio.sleep(self.frozen_until - self.world.now())
+        result = self.context.run(self.node.handle, request)
+        return result if isinstance(result, Response) else await self.context.run(asyncio.ensure_future, result)
+
+    def kill(self):
+        """The process ends without a signal; what it left running can't reach anything any more."""
+        self.alive = False
+        self.work.cancel()
+        if self.node.term is not None:
+            self.node.term.stop()
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -1,188 +1,20 @@
 """A simulated deployment: real controllers, stand-in services, workers and users, faults and a checker."""
 
 import asyncio
-import contextvars
 import math
 import random
 
 import cbor2
 
-from passrock.controller.node import Node
-from passrock.core.budget import Budget
 from passrock.io.clock import use_wall_clock
-from passrock.io.cloud import CloudClient
-from passrock.io.http_client import NoAnswerError
-from passrock.io.http_server import Request, Response
-from passrock.io.state import StateClient
-from passrock.settings import Operator, parse_settings
-from standins import virtual_loop
+from passrock.io.http_server import Request
 from standins.checker import Checker
 from standins.cloud_service import CloudService
+from standins.deployment import BOX, LIMITS, TEAMS
+from standins.sim_node import SimNode
 from standins.state_service import StateService
 from standins.worker import Worker
 
-LIMITS = {
-    "report_s": 1.0,
-    "lease_s": 10.0,
-    "gang_wait_s": 30.0,
-    "gang_peer_s": 6.0,
-    "cancel_s": 35.0,
-    "gpus_max": 8.0,
-}
-BOX = {
-    "sku": "box",
-    "cores": 16.0,
-    "cards": 2.0,
-    "ramGb": 64.0,
-    "localGb": 100.0,
-    "fetchGbPerS": 1.0,
-    "price": 5.0,
-    "spotPrice": 1.5,
-    "bootS": 10.0,
-}
-TEAMS = 3
-
-
-def node_table(number, count, zones, teams=TEAMS, guarantee=4.0, limits=LIMITS):
-    """A controller's settings as the platform would write them."""
-    return {
-        "node": f"n{number}",
-        "area": zones[number % len(zones)],
-        "client_listen": f"10.0.0.{number + 1}:8080",
-        "peer_listen": f"10.0.0.{number + 1}:8081",
-        "peers": [
-            {"node": f"n{i}", "area": zones[i % len(zones)], "endpoint": f"10.0.0.{i + 1}:8081"}
-            for i in range(count)
-            if i != number
-        ],
-        "outside": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
-        "deployment": {
-            "zones": list(zones),
-            "time_bound_ms": 5.0,
-            "teams": [
-                {"name": f"t{i}", "cpus": 0.0, "cpus_max": 0.0, "gpus": guarantee, "gpus_max": limits["gpus_max"]}
-                for i in range(teams)
-            ],
-            "workers": {k: v for k, v in limits.items() if k != "gpus_max"},
-            "state": {"rps": 100.0, "write_rps": 40.0, "value_kb": 4.0, "txn_ops": 12},
-            "cloud": {"rps": 6.0, "list_lag_s": 3.0},
-            "resources": {"cpu": 0.4, "mem_mb": 150.0, "fd_limit": 600},
-        },
-    }
-
-
-class ServiceLink:
-    """A node's connection to a stand-in service, with delays, outages, lost answers and late requests."""
-
-    def __init__(self, world, node, service, state):
-        self.world, self.node, self.service, self.is_state = world, node, service, state
-        self.sent = 0  # changing requests so far
-
-    async def request(self, method, path, body=b"", timeout=2.0):
-        try:
-            async with asyncio.timeout(timeout):
-                return await self._carry(method, path, body)
-        except TimeoutError as error:
-            raise NoAnswerError("no response") from error
-
-    async def _carry(self, method, path, body):
-        world, rng = self.world, self.world.rng
-        if not self.node.alive:
-            await asyncio.Event().wait()
-        await asyncio.sleep(rng.uniform(0.001, 0.006) + (world.state_delay if self.is_state else 0.0))
-        watch = path.startswith("/changes")
-        while self.is_state and watch and self.node.refused:
-            await asyncio.sleep(0.2)
-        if self.is_state and self.node.refused:
-            return 503, b""
-        changing = method != "GET"
-        self.sent += changing
-        if changing and rng.random() < world.late_share:
-            asyncio.get_running_loop().call_later(rng.uniform(1.0, 20.0), self._late, self.sent, method, path, body)
-            await asyncio.Event().wait()
-        status, answer = await self.service.handle(method, path, body)
-        while self.is_state and watch and self.node.refused:  # a watch that was open waits as in an outage
-            await asyncio.sleep(0.2)
-        if changing and rng.random() < world.lost_share:
-            await asyncio.Event().wait()
-        await asyncio.sleep(rng.uniform(0.001, 0.004))
-        if not self.node.alive:
-            await asyncio.Event().wait()
-        return status, answer
-
-    def _late(self, number, method, path, body):
-        if self.is_state and self.sent > number:
-            self.world.state.late_after_newer += 1
-        self.world.spawn(self.service.handle(method, path, body))
-
-
-class SimLink:
-    """A node's way to ask one peer."""
-
-    def __init__(self, world, node, peer):
-        self.world, self.node, self.peer = world, node, peer
-        self.answer = None
-        self.asked_at = -1e9
-        self.waiting_since = None
-        self.heard = lambda heartbeat, asked_at: None
-
-    async def ask(self, heartbeat, timeout):
-        other = self.world.nodes.get(self.peer)
-        sent = self.world.now()
-        dead = other is None or not other.alive
-        self.waiting_since = None if dead else sent if self.waiting_since is None else self.waiting_since
-        if dead or not self.node.alive or self.world.peers_cut(self.node.name, self.peer):
-            return
-        await asyncio.sleep(self.world.rng.uniform(0.001, 0.01))
-        while other.frozen_until > self.world.now():
-            await asyncio.sleep(other.frozen_until - self.world.now())
-        if other.alive and other is self.world.nodes.get(self.peer):
-            self.answer = other.node.peers.reply(heartbeat)
-            self.asked_at = sent
-            self.waiting_since = None
-            self.heard(self.answer, sent)
-
-
-class SimNode:
-    """One incarnation of a controller process."""
-
-    def __init__(self, world, number):
-        self.world, self.number, self.name = world, number, f"n{number}"
-        self.alive, self.refused = True, False
-        self.frozen_until = 0.0
-        self.context = contextvars.copy_context()
-        self.context.run(virtual_loop.OWNER.set, self)
-        faults = []
-        table = node_table(number, world.node_count, world.zones, world.teams, world.guarantee, world.limits)
-        settings = parse_settings(table, Operator(), faults)
-        assert not faults, faults
-        self.zone = settings.zone
-        rng = random.Random(world.rng.random())
-        state = StateClient(
-            ServiceLink(world, self, world.state, True),
-            ServiceLink(world, self, world.state, True),
-            Budget(100.0, 100.0),
-            Budget(40.0, 40.0),
-        )
-        cloud = CloudClient(ServiceLink(world, self, world.cloud, False), Budget(5.0, 6.0))
-        links = [SimLink(world, self, peer.node) for peer in settings.peers]
-        self.node = Node(settings, state, cloud, links, rng)
-        self.work = self.context.run(asyncio.ensure_future, self.node.work())
-
-    async def answer(self, request):
-        """Handle a request as soon as the process doesn't stand still: until then it waits in a socket."""
-        while self.frozen_until > self.world.now():
-            await asyncio.sleep(self.frozen_until - self.world.now())
-        result = self.context.run(self.node.handle, request)
-        return result if isinstance(result, Response) else await self.context.run(asyncio.ensure_future, result)
-
-    def kill(self):
-        """The process ends without a signal; what it left running can't reach anything any more."""
-        self.alive = False
-        self.work.cancel()
-        if self.node.term is not None:
-            self.node.term.stop()
-
 
 class World:
     """Everything, driven by one seeded random source."""
