--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,79 @@
+"""The checks can fail: each is seen to catch a controller that breaks its rule."""
+
+import pytest
+
+from passrock.controller.failure_detector import FailureDetector
+from passrock.controller.leadership import Leadership
+from passrock.controller.users import UnavailableError, Users
+from passrock.core.cancellations import PeerKnowledge
+from passrock.core.placement import Placer
+from passrock.io.clock import steady
+from standins import virtual_loop
+from standins.scenes import (
+    hand_over_and_back,
+    most_of_the_fleet_hangs,
+    odd_requests,
+    play,
+    slow_state_then_refused_then_out,
+    zone_bound_jobs_lose_machines,
+)
+from test_gap import gap
+
+
+def believes_that_it_knows(monkeypatch):
+    monkeypatch.setattr(Leadership, "knows_cancellations", lambda self, within_s: True)
+
+
+def takes_in_nothing(monkeypatch):
+    take = PeerKnowledge.take
+    monkeypatch.setattr(PeerKnowledge, "take", lambda self, *answer: [] if take(self, *answer) else [])
+
+
+def waits_for_a_crowd_with_cancelled_tasks(monkeypatch):
+    monkeypatch.setattr(FailureDetector, "clear_cancelled", lambda self, now: None)
+
+
+def takes_whatever_comes(monkeypatch):
+    monkeypatch.setattr("passrock.controller.users.fault", lambda spec, teams, types: None)
+
+
+def forgets_to_place(monkeypatch):
+    run = Placer.run
+    monkeypatch.setattr(Placer, "run", lambda self, now: [] if now > 26.0 else run(self, now))
+
+
+def leaves_a_question_unanswered(monkeypatch):
+    query = Users._query
+
+    async def _query(self, job_id):
+        if job_id == "wk-000000" and steady() > 30.0:
+            raise UnavailableError("as a test wants it")
+        return await query(self, job_id)
+
+    monkeypatch.setattr(Users, "_query", _query)
+
+
+@pytest.mark.parametrize("trouble", ["teller crashes and is back at once", "teller loses its peers", "all restart"])
+def test_checker_catches_renewals_without_knowledge(monkeypatch, trouble):
+    """What is told is not enough where the one that told is gone: the bound is needed as well."""
+    believes_that_it_knows(monkeypatch)
+    world = virtual_loop.run(gap(201, trouble, 0.0))[0]
+    assert "ran_cancelled" in {one for _, one, _ in world.checker.broken}
+
+
+@pytest.mark.parametrize(
+    ("unsafe", "scene", "rule"),
+    [
+        (takes_in_nothing, slow_state_then_refused_then_out, "ran_cancelled"),
+        (waits_for_a_crowd_with_cancelled_tasks, most_of_the_fleet_hangs, "ran_cancelled"),
+        (takes_whatever_comes, odd_requests, "accepted_impossible"),
+        (forgets_to_place, zone_bound_jobs_lose_machines, "left_waiting"),
+        (leaves_a_question_unanswered, hand_over_and_back, "forgotten"),
+    ],
+    ids=lambda value: getattr(value, "__name__", value),
+)
+def test_checker_catches(monkeypatch, unsafe, scene, rule):
+    """Each check that the scenes rest on fails on a controller that breaks it."""
+    unsafe(monkeypatch)
+    world, _ = virtual_loop.run(play(scene, 300, ("a", "b", "c")))
+    assert rule in {one for _, one, _ in world.checker.broken}
