--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left
 
 import msgspec
@@ -12,6 +13,7 @@
 from passrock.core.model import NOTHING, Kind, MachineType, Resources, Team
 
 LEAST_CHARGED_S = 60.0  # the cloud charges a deleted machine for at least this long
+SMALL_ARRAY = 64  # so many tasks are given a place each, however short they are
 MOST_PER_RENTAL = 50  # machines that one request can rent
 
 
@@ -88,7 +90,19 @@
 
     if job.spec.kind is Kind.GANG:
         return 0 if is_over(job.waiting) else job.waiting
-    return bisect_left(range(1, job.waiting + 1), True, key=is_over)
+    return bisect_left(range(1, _at_once(job) + 1), True, key=is_over)
+
+
+def _at_once(job: Job) -> int:
+    """How many of a job's waiting tasks are worth a place of their own.
+
+    A machine is charged for a least time, in which one place runs several short tasks one after the other. A huge
+    array of tasks of four seconds had all spot machines rented at once otherwise.
+    """
+    if job.spec.kind is Kind.SERVICE:
+        return job.waiting
+    worth = math.ceil(job.waiting * min(1.0, job.spec.estimate / LEAST_CHARGED_S))
+    return max(worth, min(job.waiting, SMALL_ARRAY))
 
 
 def plan_rentals(
--- a/tests/test_renting_and_admission.py
+++ b/tests/test_renting_and_admission.py
@@ -36,6 +36,24 @@
     assert plan_rentals(queue, desk.book, desk.fleet, TEAMS, market, AIMS, 0.0) == {}
 
 
+@pytest.mark.parametrize(
+    ("tasks", "estimate", "machines"),
+    [
+        (20_000, 4.0, 21),  # a place runs fifteen of them in the time that is charged at the least
+        (20_000, 0.1, 1),  # but 64 tasks get a place each
+        (100, 4.0, 1),
+        (1_000, 300.0, 16),
+    ],
+)
+def test_short_tasks_share_places(tasks, estimate, machines):
+    desk = Desk([])
+    desk.job(tasks=tasks, estimate=estimate, need=Resources(0.25, 0, 1.0), spot=True, team="free")
+    teams = {"free": Team("free", 0, 0, 0, 0)}
+    market = Market({"box": BOX})
+    wanted = plan_rentals(list(desk.book.jobs.values()), desk.book, desk.fleet, teams, market, AIMS, 0.0)
+    assert sum(wanted.values()) == machines
+
+
 def test_refused_offers_rest_and_dear_ones_wait_until_needed():
     desk = Desk([])
     desk.job(1, spot=True, job_class="late")
