--- /dev/null
+++ b/src/passrock/admission/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The parts of admission that join its decisions to a controller."""
--- /dev/null
+++ b/src/passrock/admission/controller/allocation_store.py
@@ -0,0 +1,83 @@
+"""The allocations that stand in the state, put together from their pages."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from passrock.admission.core.allocation import Allocation
+from passrock.admission.core.flows import Flow
+from passrock.admission.wire.allocation_record import UnreadableAllocationError, decode_allocation, page_count
+from passrock.controller import keys
+from passrock.logs import error
+from passrock.wire.state import Entry
+
+
+class Stored(msgspec.Struct, frozen=True):
+    """An allocation with the version of its record, which is that of all its pages."""
+
+    allocation: Allocation
+    version: int
+    granted: dict[Flow, int]
+    pages: int
+
+
+class AllocationStore:
+    """Follows the copy of the state; the first allocation that is read for a slot stays."""
+
+    def __init__(self, entries: Callable[[], Mapping[str, Entry]]) -> None:
+        self._entries = entries
+        self._stored: dict[int, Stored] = {}
+        self.opened: list[Callable[[Allocation], None]] = []
+
+    def changed(self, key: str, entry: Entry | None) -> None:
+        """A page was written or deleted."""
+        place = keys.allocation_slot(key)
+        if place is None:
+            return
+        slot, _ = place
+        if entry is None:
+            self._stored.pop(slot, None)
+        elif slot not in self._stored:
+            self._assemble(slot, entry)
+
+    def put(self, allocation: Allocation, version: int, pages: int) -> None:
+        """This node's own commit, which its copy of the state will show later."""
+        if allocation.slot not in self._stored:
+            self._open(allocation, version, pages)
+
+    def _assemble(self, slot: int, arrived: Entry) -> None:
+        entries = self._entries()
+        head = arrived if arrived.key == keys.allocation(slot, 0) else entries.get(keys.allocation(slot, 0))
+        if head is None:
+            return
+        try:
+            pages = [entries.get(keys.allocation(slot, page)) for page in range(page_count(head.value))]
+            whole = [page for page in pages if page is not None and page.version == head.version]
+            if len(whole) < len(pages):
+                return  # the others follow
+            allocation = decode_allocation([page.value for page in whole])
+            if allocation.slot != slot:
+                raise UnreadableAllocationError(f"it is that of slot {allocation.slot}")
+        except UnreadableAllocationError as problem:
+            error("allocation_unreadable", key=head.key, problem=problem)
+            return
+        self._open(allocation, head.version, len(pages))
+
+    def _open(self, allocation: Allocation, version: int, pages: int) -> None:
+        self._stored[allocation.slot] = Stored(allocation, version, allocation.granted(), pages)
+        for callback in self.opened:
+            callback(allocation)
+
+    def get(self, slot: int) -> Stored | None:
+        """The allocation of a slot."""
+        return self._stored.get(slot)
+
+    def latest(self) -> Stored | None:
+        """The allocation of the highest slot."""
+        return self._stored[max(self._stored)] if self._stored else None
+
+    def up_to(self, slot: int) -> list[Stored]:
+        """Allocations of this slot and earlier ones, oldest first."""
+        return [self._stored[number] for number in sorted(self._stored) if number <= slot]
--- /dev/null
+++ b/src/passrock/admission/controller/allocator.py
@@ -0,0 +1,150 @@
+"""The leader's part: decides each slot's allocation ahead, and commits it once."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Any
+
+from passrock.admission.controller.allocation_store import AllocationStore, Stored
+from passrock.admission.controller.outcomes import SlotOutcomes
+from passrock.admission.core.allocation import Allocation, Allocator, Service, Shares
+from passrock.admission.core.demand import DemandReport
+from passrock.admission.settings import AdmissionSettings
+from passrock.admission.wire.allocation_record import encode_allocation
+from passrock.controller import keys
+from passrock.controller.leadership import Leadership
+from passrock.core.budget import rate_share
+from passrock.io.clock import steady, time_of_day
+from passrock.io.state import Committed, StateClient, StateError
+from passrock.logs import debug, error
+from passrock.settings import Settings
+from passrock.wire.state import Delete, Put, Write
+
+DECIDE_AT = 0.5  # of a slot: from then on the next one is decided
+TICKS = 16  # in a slot, between looks whether one has to be decided
+SETTLED_AFTER = 2  # slots: by then everything admitted in a slot is in the copy of the state
+
+
+class SlotAllocator:
+    """Decides slots while this node leads."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        admission: AdmissionSettings,
+        state: StateClient,
+        leadership: Leadership,
+        store: AllocationStore,
+        outcomes: SlotOutcomes,
+        own_demand: Callable[[], DemandReport],
+    ) -> None:
+        self.settings = settings
+        self.admission = admission
+        self.state = state
+        self.leadership = leadership
+        self.store = store
+        self.outcomes = outcomes
+        self.own_demand = own_demand
+        self.clock = outcomes.clock
+        self.demand = outcomes.demand
+        self.watch = outcomes.dispatch.watch
+        self.shares = Shares(admission.interactive_share, admission.burst_share, admission.interactive_most)
+        self._resumed = False
+
+    async def run(self) -> None:
+        """Decide for ever; a decision that fails is taken up again at the next look."""
+        while True:
+            slot = self.due()
+            if slot is not None and self.leadership.holds_lease():
+                try:
+                    await self.decide(slot)
+                except StateError as problem:
+                    debug("allocation_failed", slot=slot, problem=problem)
+                except Exception as problem:  # admission must never end the term of a leader that can place
+                    error("allocation_failed", slot=slot, problem=repr(problem))
+            await asyncio.sleep(self.clock.length_s / TICKS)
+
+    def due(self) -> int | None:
+        """The slot that has to be decided now, if any."""
+        now = time_of_day()
+        slot = self.clock.number(now)
+        if self.clock.elapsed(now) >= DECIDE_AT:
+            slot += 1
+        latest = self.store.latest()
+        return slot if latest is None or latest.allocation.slot < slot else None
+
+    async def decide(self, slot: int) -> None:
+        """Allocate a slot and commit it, unless any leader has done so before: what is committed stays."""
+        latest = self.store.latest()
+        if latest is not None and not self._resumed:
+            self.watch.resume(latest.allocation.started)
+            self.demand.know_lives((node, column.life) for node, column in latest.allocation.columns.items())
+        self._resumed = True
+        self.demand.take(self.own_demand(), self.leadership.term, steady())
+        over = self.store.up_to(slot - SETTLED_AFTER)
+        allocation = self._allocate(slot, latest, over)
+        conditions = {keys.LEADER: self.leadership.stamp}
+        if latest is not None:
+            conditions[keys.allocation(latest.allocation.slot, 0)] = latest.version
+        writes: list[Write] = []
+        pages = self._pages(allocation)
+        for page, value in enumerate(pages):
+            conditions[keys.allocation(slot, page)] = 0
+            writes.append(Put(keys.allocation(slot, page), value))
+        writes += self._deletions(over)[: self.settings.txn_ops - len(writes)]
+        result = await self.state.commit(conditions, writes)
+        if isinstance(result, Committed):
+            self.store.put(allocation, result.revision, len(pages))
+        else:
+            debug("allocation_refused", slot=slot, failed=result.failed)
+
+    def _allocate(self, slot: int, latest: Stored | None, over: list[Stored]) -> Allocation:
+        """What the controllers may admit in a slot, with the service that flows have received."""
+        demand = self.demand.demand(steady())
+        service = Service() if latest is None else self.outcomes.settle(latest, over)
+        self.outcomes.note_wanted(slot, demand.values())
+        lives = self.demand.lives()
+        capacity = self._capacity(slot, sorted(lives))
+        columns = Allocator(capacity, demand, service, self.outcomes.weights, self.shares).run()
+        for node, column in columns.items():
+            column.life = lives[node]
+        node, term = self.settings.node, self.leadership.term
+        return Allocation(slot, term, node, columns, service, slot - SETTLED_AFTER, dict(self.watch.started))
+
+    def _capacity(self, slot: int, nodes: list[str]) -> dict[str, int]:
+        """How many submissions each controller's part of the state's write rate carries in the slot, or its rest."""
+        today = time_of_day()
+        rest = 1.0 - self.clock.elapsed(today) if self.clock.number(today) == slot else 1.0
+        writes = self.settings.state_write_rps * self.clock.length_s * rest
+        count = self.settings.nodes
+        follower = writes * rate_share(False, count) * self.admission.intake_share
+        leader = writes * rate_share(True, count) * self.admission.leader_intake_share
+        return {node: max(1, math.floor(leader if node == self.settings.node else follower)) for node in nodes}
+
+    def _pages(self, allocation: Allocation) -> list[dict[str, Any]]:
+        """The record's pages, with half of its rows left out for as long as no transaction could hold it."""
+        while True:
+            pages = encode_allocation(allocation, self.settings.value_bytes)
+            if len(pages) <= max(1, self.settings.txn_ops // 2):
+                return pages
+            shorten(allocation)
+
+    def _deletions(self, over: list[Stored]) -> list[Write]:
+        """Records that nobody may admit against any more."""
+        return [
+            Delete(keys.allocation(stored.allocation.slot, page)) for stored in over for page in range(stored.pages)
+        ]
+
+
+def shorten(allocation: Allocation) -> None:
+    """Leave out half of an allocation's rows; grants that are left out go to the common reserve."""
+    service = sorted(allocation.service.flows.items(), key=lambda row: -row[1])
+    allocation.service.flows = dict(service[: len(service) // 2])
+    started = sorted(allocation.started.items(), key=lambda row: row[1])
+    allocation.started = dict(started[: len(started) // 2])
+    for column in allocation.columns.values():
+        grants = list(column.flows.items())
+        column.flows = dict(grants[: len(grants) // 2])
+        column.shared += sum(units for _, units in grants[len(grants) // 2 :])
--- /dev/null
+++ b/src/passrock/admission/controller/control.py
@@ -0,0 +1,194 @@
+"""Admission on one controller: the gate, what is told to the peers, and the leader's part while this node leads."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from passrock.admission.controller.allocation_store import AllocationStore
+from passrock.admission.controller.allocator import SlotAllocator
+from passrock.admission.controller.dispatch import Dispatch
+from passrock.admission.controller.intake import Intake
+from passrock.admission.controller.outcomes import SlotOutcomes
+from passrock.admission.core.admitted import AdmittedJobs
+from passrock.admission.core.decision import Decision
+from passrock.admission.core.demand import DemandReport, DemandTable
+from passrock.admission.core.flows import Flow, Weights
+from passrock.admission.core.grants import Grants
+from passrock.admission.core.slots import SlotClock
+from passrock.admission.core.starvation import StartWatch
+from passrock.admission.settings import AdmissionSettings
+from passrock.admission.wire.demand_message import MalformedDemandError, decode_demand, encode_demand
+from passrock.controller import keys
+from passrock.controller.intake import Refusal
+from passrock.controller.leadership import Leadership
+from passrock.controller.replica import Replica
+from passrock.controller.term import Term
+from passrock.core.model import Spec
+from passrock.core.records import PERMIT_MARK, Permit
+from passrock.io.clock import steady, time_of_day
+from passrock.io.peers import Peers
+from passrock.io.state import StateClient
+from passrock.logs import info
+from passrock.settings import Settings
+from passrock.wire.state import Entry
+
+if TYPE_CHECKING:
+    from passrock.admission.io.decision_log import DecisionLog
+
+NAME = "admission"
+DEMAND_KEPT_SLOTS = 2.0
+COMPLAIN_EVERY_S = 10.0  # a log line on malformed reports at most this often
+REPORTS_EVERY = 0.3  # of the report interval, between two reckonings of what is told to the peers
+
+
+class AdmissionControl:
+    """Everything of admission that lives as long as the process."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        admission: AdmissionSettings,
+        state: StateClient,
+        replica: Replica,
+        leadership: Leadership,
+        peers: Peers,
+        rng: random.Random,
+    ) -> None:
+        self.name = NAME
+        self.settings = settings
+        self.admission = admission
+        self.state = state
+        self.leadership = leadership
+        self.peers = peers
+        self.clock = SlotClock(admission.slot_ratio * settings.report_s)
+        self.weights = Weights(
+            settings.teams,
+            settings.objectives,
+            admission.team_weights,
+            admission.class_weights,
+            admission.interactive_ratio,
+        )
+        self.life = leadership.run_id
+        self.store = AllocationStore(lambda: replica.entries)
+        self.grants = Grants(settings.node, self.life)
+        self.intake = Intake(self.clock, self.grants, self.store, self.weights, rng)
+        self.admitted = AdmittedJobs()
+        self.demand = DemandTable(DEMAND_KEPT_SLOTS * self.clock.length_s)
+        self._deciding: asyncio.Task[None] | None = None
+        self._started_ms = int(time_of_day() * 1000)
+        self._report: DemandReport | None = None
+        self._reported_at = -1e9
+        self._message = b""
+        self._reports = 0
+        self._complained_at = -1e9
+        replica.listeners.append(self._changed)
+        self.log = self._open_log()
+
+    def _open_log(self) -> DecisionLog | None:
+        if not self.admission.log_dir:
+            return None
+        from passrock.admission.io.decision_log import DecisionLog  # not loaded where no log is kept
+
+        return DecisionLog(self.admission.log_dir, int(self.admission.log_mb * 1e6), self._started_ms)
+
+    # -- the copy of the state ------------------------------------------------------------------------
+
+    def _changed(self, key: str, entry: Entry | None) -> None:
+        if key.startswith(keys.ALLOCATION):
+            self.store.changed(key, entry)
+        elif key.startswith(keys.JOB) and entry is not None:
+            self._accepted(key[len(keys.JOB) :], entry)
+
+    def _accepted(self, job_id: str, entry: Entry) -> None:
+        """A job's record: whichever controller accepted it, its user will not come again here."""
+        self.intake.demand.accepted_anywhere(job_id)
+        mark = entry.value.get(PERMIT_MARK)
+        if isinstance(mark, list) and mark and isinstance(mark[0], int):
+            spec = entry.value["s"]
+            self.admitted.note(job_id, Flow(spec["t"], spec["c"]), mark[0])
+
+    # -- the gate ---------------------------------------------------------------------------------------
+
+    def decide(self, spec: Spec) -> Permit | Refusal | None:
+        """Whether a submission is taken in; None where nobody decides slots."""
+        return self.intake.decide(spec) if self._in_force() else None
+
+    def concluded(self, spec: Spec, unused: bool) -> None:
+        """A request that had been permitted is over."""
+        self.intake.concluded(spec, unused)
+
+    def _in_force(self) -> bool:
+        """Whether slots are decided: not while the leader, as it says itself, does not know of them."""
+        if self.leadership.leading:
+            return True
+        answers = self.peers.answers(steady() - self.leadership.ttl)
+        leading = [heartbeat for heartbeat, _ in answers if heartbeat.leading]
+        if not leading:
+            return True
+        return max(leading, key=lambda heartbeat: heartbeat.term).extension(NAME) is not None
+
+    # -- the peers -----------------------------------------------------------------------------------------
+
+    def report(self) -> DemandReport:
+        """This controller's demand as of now."""
+        now = time_of_day()
+        flows = self.intake.demand.demand(self.clock.number(now), now)
+        self._reports += 1
+        return DemandReport(
+            self.settings.node, self.life, self._started_ms, self._reports, self.leadership.known_term, flows
+        )
+
+    def outgoing(self) -> bytes:
+        """The demand for the peers, reckoned anew at intervals."""
+        now = steady()
+        if now - self._reported_at >= self.settings.report_s * REPORTS_EVERY or not self._message:
+            self._reported_at = now
+            self._message = encode_demand(self.report())
+        return self._message
+
+    def received(self, node: str, data: bytes) -> None:
+        """A peer's demand; one that can't be read counts as none."""
+        try:
+            report = decode_demand(node, data)
+        except MalformedDemandError as problem:
+            now = steady()
+            if now - self._complained_at >= COMPLAIN_EVERY_S:
+                self._complained_at = now
+                info("demand_malformed", node=node, problem=problem)
+            return
+        self.demand.take(report, self.leadership.known_term, steady())
+
+    # -- leading ---------------------------------------------------------------------------------------------
+
+    def lead(self, term: Term) -> None:
+        """This node leads from now on."""
+        admission = self.admission
+        watch = StartWatch(admission.window_s * admission.favour_ratio)
+        dispatch = Dispatch(
+            watch, admission.window_s, admission.window_s * admission.protect_ratio, self.settings.report_s
+        )
+        outcomes = SlotOutcomes(self.clock, self.weights, self.admitted, self.demand, dispatch, self._concluded)
+        allocator = SlotAllocator(
+            self.settings, admission, self.state, self.leadership, self.store, outcomes, self.report
+        )
+        term.on_evaluated = dispatch.evaluated
+        self._deciding = asyncio.ensure_future(self._decide(term, allocator))
+
+    def _concluded(self, decision: Decision) -> None:
+        if self.log is not None:
+            self.log.add(decision)
+
+    def lead_no_longer(self) -> None:
+        """The term is over: nothing of it is decided any more."""
+        if self._deciding is not None:
+            self._deciding.cancel()
+            self._deciding = None
+        if self.log is not None:
+            self.log.flush()
+
+    async def _decide(self, term: Term, allocator: SlotAllocator) -> None:
+        while not term.ready:
+            await asyncio.sleep(self.settings.report_s / 10)
+        await allocator.run()
--- /dev/null
+++ b/src/passrock/admission/controller/dispatch.py
@@ -0,0 +1,99 @@
+"""Dispatch on the leader: a class that has waited long for a start goes first."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from passrock.admission.core.flows import Flow
+from passrock.admission.core.starvation import FlowWait, Obstacle, StartWatch, WaitingJob
+from passrock.core.jobs import Job, Live
+from passrock.core.model import Kind
+from passrock.core.placement import Placer
+from passrock.io.clock import time_of_day
+from passrock.logs import error, info
+
+MOST_FAVOURED_PART = 8  # one flow at a time goes first for so many machines, and one at the least
+
+
+def flow_of(job: Job) -> Flow:
+    """The flow that a job belongs to."""
+    return Flow(job.spec.team, job.spec.job_class)
+
+
+class Dispatch:
+    """Watches starts by flow, and tells the placer which jobs go first and which may not be displaced."""
+
+    def __init__(self, watch: StartWatch, window_s: float, protect_s: float, every_s: float) -> None:
+        self.watch = watch
+        self.window_s = window_s
+        self.protect_s = protect_s
+        self.every_s = every_s  # between two looks at all waiting jobs
+        self._looked_at = -math.inf
+        self.waits: list[FlowWait] = []
+        self.starts: dict[Flow, int] = {}  # since they were last taken
+        self._protected: dict[str, float] = {}
+        self._starved: set[Flow] = set()
+
+    def evaluated(self, placer: Placer, started: Iterable[Live], now: float) -> None:
+        """One pass of placement is over; the next one follows what is set here."""
+        today = time_of_day()
+        for live in started:
+            flow = flow_of(live.job)
+            self.watch.note_start(flow, today)
+            self.starts[flow] = self.starts.get(flow, 0) + 1
+            if live.job.spec.id in placer.favoured:
+                self._protected[live.job.spec.id] = today + self.protect_s
+                info("favoured_start", job=live.job.spec.id, team=flow.team, of=flow.job_class)
+        if now - self._looked_at < self.every_s:
+            return
+        self._looked_at = now
+        self.waits = self.watch.look(self._waiting(placer, now))
+        favoured = self.watch.favoured(self.waits, today, max(1, len(placer.usable) // MOST_FAVOURED_PART))
+        self._tell_new(favoured, placer.favoured, today)
+        placer.favoured = frozenset(wait.oldest for wait in favoured)
+        self._protected = {job_id: until for job_id, until in self._protected.items() if until > today}
+        placer.protected = frozenset(self._protected)
+        self._tell_starved(today)
+
+    def take_starts(self) -> dict[Flow, int]:
+        """Tasks started by flow since the last call."""
+        starts, self.starts = self.starts, {}
+        return starts
+
+    def _waiting(self, placer: Placer, now: float) -> Iterable[WaitingJob]:
+        for job in placer.book.jobs.values():
+            if job.waiting > 0 and not job.cancelled and job.final is None:
+                yield WaitingJob(job.spec.id, flow_of(job), job.submitted, self._obstacle(placer, job, now))
+
+    def _obstacle(self, placer: Placer, job: Job, now: float) -> Obstacle:
+        spec = job.spec
+        if job.not_before > now or job.is_suspect:
+            return Obstacle.FAILING
+        if not placer.allowed_now(job, spec.tasks if spec.kind is Kind.GANG else 1):
+            return Obstacle.TEAM_LIMIT
+        if not any(
+            spec.allows(machine.type.name, machine.zone, machine.spot) and spec.need.fits(machine.type.size)
+            for machine in placer.usable
+        ):
+            return Obstacle.NO_MACHINE
+        return Obstacle.OTHERS
+
+    def _tell_new(self, favoured: list[FlowWait], before: frozenset[str], today: float) -> None:
+        for wait in favoured:
+            if wait.oldest not in before:
+                waited = round(today - wait.since)
+                info(
+                    "class_waits_long", team=wait.flow.team, of=wait.flow.job_class, job=wait.oldest, waited_s=waited
+                )
+
+    def _tell_starved(self, today: float) -> None:
+        """Log each flow once when a whole window has passed, with what keeps it from a start."""
+        late = {wait.flow: wait for wait in self.waits if today - wait.since > self.window_s}
+        for flow in late.keys() - self._starved:
+            wait = late[flow]
+            waited = round(today - wait.since)
+            starved = wait.obstacle is Obstacle.OTHERS and self.watch.others_served_since(flow, wait.since)
+            tell, name = (error, "class_starved") if starved else (info, "class_unserved")
+            tell(name, team=flow.team, of=flow.job_class, waited_s=waited, jobs=wait.jobs, why=wait.obstacle.value)
+        self._starved = set(late)
--- /dev/null
+++ b/src/passrock/admission/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of admission, without input or output."""
--- /dev/null
+++ b/src/passrock/admission/core/allocation.py
@@ -0,0 +1,185 @@
+"""The allocation of a slot: which controller may admit how many submissions of which flow."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from heapq import heapify, heappop, heappush
+
+import msgspec
+
+from passrock.admission.core.demand import FlowDemand
+from passrock.admission.core.flows import Flow, Weights
+
+QUANTA = 256  # steps in which a slot's capacity is divided at the most
+AGEING_S = 60.0  # a class's weight doubles when its oldest submission has waited for this long
+
+
+class Column(msgspec.Struct):
+    """What one life of a controller may admit in a slot."""
+
+    life: int
+    interactive: int  # of interactive flows, beside their grants
+    shared: int  # of any flow, beside its grant
+    flows: dict[Flow, int] = msgspec.field(default_factory=dict)
+
+    @property
+    def total(self) -> int:
+        """All that this controller may admit."""
+        return self.interactive + self.shared + sum(self.flows.values())
+
+
+class Service(msgspec.Struct):
+    """What flows have received in proportion to their weights, above the one that has received least.
+
+    This is the deficit of the others. It is carried from slot to slot, and from leader to leader.
+    """
+
+    teams: dict[str, float] = msgspec.field(default_factory=dict)
+    flows: dict[Flow, float] = msgspec.field(default_factory=dict)
+
+    def charge(self, flow: Flow, units: float, weights: Weights, age_s: float = 0.0) -> None:
+        """A flow received so many units; fewer than 0 were granted and not used."""
+        team = self.teams.get(flow.team, 0.0) + units / weights.team(flow.team)
+        self.teams[flow.team] = max(0.0, team)
+        weight = weights.job_class(flow.job_class) * ageing(age_s)
+        self.flows[flow] = max(0.0, self.flows.get(flow, 0.0) + units / weight)
+
+    def settle(self, active: set[Flow]) -> None:
+        """Take off what everyone that asks has received: who asks for nothing can't save up."""
+        active_teams = {flow.team for flow in active}
+        floor = min((self.teams.get(team, 0.0) for team in active_teams), default=math.inf)
+        self.teams = {team: left for team, used in self.teams.items() if (left := used - floor) > 0}
+        floors: dict[str, float] = {}
+        for flow in active:
+            floors[flow.team] = min(floors.get(flow.team, math.inf), self.flows.get(flow, 0.0))
+        self.flows = {
+            flow: left for flow, used in self.flows.items() if (left := used - floors.get(flow.team, math.inf)) > 0
+        }
+
+
+class Allocation(msgspec.Struct):
+    """What the controllers may admit in one slot, as a leader decided it once and for ever."""
+
+    slot: int
+    term: int
+    leader: str
+    columns: dict[str, Column]
+    service: Service = msgspec.field(default_factory=Service)
+    settled: int = 0  # up to this slot, service counts what was admitted and not what was granted
+    started: dict[Flow, float] = msgspec.field(default_factory=dict)  # last starts of flows with waiting jobs
+
+    def granted(self) -> dict[Flow, int]:
+        """What each flow was granted, at all controllers together."""
+        total: dict[Flow, int] = {}
+        for column in self.columns.values():
+            for flow, units in column.flows.items():
+                total[flow] = total.get(flow, 0) + units
+        return total
+
+    @property
+    def capacity(self) -> int:
+        """All that may be admitted in the slot."""
+        return sum(column.total for column in self.columns.values())
+
+
+class Shares(msgspec.Struct, frozen=True):
+    """How a controller's capacity is divided."""
+
+    interactive: float
+    burst: float
+    interactive_most: float
+
+
+def ageing(age_s: float) -> float:
+    """By what a class's weight grows with the age of its oldest submission."""
+    return 1.0 + age_s / AGEING_S
+
+
+class Allocator:
+    """Divides the capacity of one slot by start-time fair queueing over teams, and classes within a team.
+
+    The next units go to the team, and in it to the class, that has received least in proportion to its weight. They
+    are granted at the controller where most of the class's demand is still unmet and capacity is left.
+    """
+
+    def __init__(
+        self,
+        capacity: Mapping[str, int],
+        demand: Mapping[str, Mapping[Flow, FlowDemand]],
+        service: Service,
+        weights: Weights,
+        shares: Shares,
+    ) -> None:
+        self.service = service
+        self.weights = weights
+        self.shares = shares
+        self.columns: dict[str, Column] = {}
+        self.open: dict[str, int] = {}
+        self.wanted: dict[Flow, dict[str, int]] = {}
+        self.age: dict[Flow, float] = {}
+        for node, units in capacity.items():
+            self._open_column(node, units)
+        for node, flows in demand.items():
+            if node in self.open:
+                self._note_demand(node, flows)
+
+    def _open_column(self, node: str, units: int) -> None:
+        interactive = min(units, math.ceil(units * self.shares.interactive))
+        shared = min(units - interactive, math.ceil(units * self.shares.burst))
+        self.columns[node] = Column(0, interactive, shared)
+        self.open[node] = units - interactive - shared
+
+    def _note_demand(self, node: str, flows: Mapping[Flow, FlowDemand]) -> None:
+        for flow, demand in flows.items():
+            if demand.wanted > 0:
+                self.wanted.setdefault(flow, {})[node] = demand.wanted
+                self.age[flow] = max(self.age.get(flow, 0.0), demand.oldest_s)
+
+    def run(self) -> dict[str, Column]:
+        """Grant everything: to interactive flows up to their part, to all, and the rest to common reserves."""
+        interactive = {flow for flow in self.wanted if self.weights.is_interactive(flow)}
+        active = set(self.wanted)
+        total = sum(self.open.values())
+        self._fill(interactive, math.floor(total * self.shares.interactive_most))
+        self._fill(active, total)
+        self.service.settle(active)
+        for node, left in self.open.items():
+            self.columns[node].shared += left
+        return self.columns
+
+    def _fill(self, flows: set[Flow], most: int) -> None:
+        """Grant up to ``most`` units to some flows, fairly."""
+        teams: dict[str, list[tuple[float, Flow]]] = {}
+        for flow in flows:
+            if flow in self.wanted:
+                teams.setdefault(flow.team, []).append((self.service.flows.get(flow, 0.0), flow))
+        for waiting in teams.values():
+            heapify(waiting)
+        order = [(self.service.teams.get(team, 0.0), team) for team in teams]
+        heapify(order)
+        quantum = max(1, most // QUANTA)
+        while order and most > 0:
+            _, team = heappop(order)
+            _, flow = heappop(teams[team])
+            units = self._grant(flow, min(quantum, most))
+            most -= units
+            if units:
+                self.service.charge(flow, units, self.weights, self.age[flow])
+                heappush(teams[team], (self.service.flows[flow], flow))
+            if teams[team]:
+                heappush(order, (self.service.teams.get(team, 0.0), team))
+
+    def _grant(self, flow: Flow, units: int) -> int:
+        """Grant units at the controller with the most unmet demand; how many, 0 when there is none to be had."""
+        wanted = self.wanted[flow]
+        unmet = [(count, node) for node, count in wanted.items() if count > 0 and self.open[node] > 0]
+        if not unmet:
+            return 0
+        count, node = max(unmet)
+        units = min(units, count, self.open[node])
+        wanted[node] -= units
+        self.open[node] -= units
+        flows = self.columns[node].flows
+        flows[flow] = flows.get(flow, 0) + units
+        return units
--- /dev/null
+++ b/src/passrock/admission/core/flows.py
@@ -0,0 +1,69 @@
+"""Flows, which share the capacity of intake, and their weights."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from passrock.core.aims import Objective
+from passrock.core.model import Team
+
+ELASTIC_PART = 0.25  # of the least guarantee: the weight of a team without any
+DEFAULT_WEIGHT = 1.0
+
+
+class Flow(msgspec.Struct, frozen=True, order=True):
+    """The submissions of one class of a team."""
+
+    team: str
+    job_class: str
+
+
+class Weights:
+    """What a team's and a class's part is in proportion to, and which classes are interactive."""
+
+    def __init__(
+        self,
+        teams: Mapping[str, Team],
+        objectives: Iterable[Objective],
+        team_weights: Mapping[str, float],
+        class_weights: Mapping[str, float],
+        interactive_ratio: float,
+    ) -> None:
+        self._teams = {**_guarantees(teams), **team_weights}
+        self._least = min(self._teams.values(), default=DEFAULT_WEIGHT)
+        self._classes = dict(class_weights)
+        self._interactive = interactive_classes(objectives, interactive_ratio)
+
+    def team(self, name: str) -> float:
+        """A team's weight; one that the settings no longer name counts like the least."""
+        return self._teams.get(name, self._least)
+
+    def job_class(self, name: str) -> float:
+        """The weight of a class among those of its team."""
+        return self._classes.get(name, DEFAULT_WEIGHT)
+
+    def is_interactive(self, flow: Flow) -> bool:
+        """Whether the flow's users wait for its jobs to begin."""
+        return flow.job_class in self._interactive
+
+
+def _guarantees(teams: Mapping[str, Team]) -> dict[str, float]:
+    """Teams by guarantee: GPUs where any team has some guaranteed, CPUs otherwise."""
+    by_gpus = any(team.gpus > 0 for team in teams.values())
+    amounts = {name: team.gpus if by_gpus else team.cpus for name, team in teams.items()}
+    least = min((amount for amount in amounts.values() if amount > 0), default=None)
+    if least is None:
+        return dict.fromkeys(amounts, DEFAULT_WEIGHT)
+    return {name: amount if amount > 0 else least * ELASTIC_PART for name, amount in amounts.items()}
+
+
+def interactive_classes(objectives: Iterable[Objective], ratio: float) -> frozenset[str]:
+    """The classes whose shortest aim on waiting is up to ``ratio`` times the shortest of all."""
+    shortest: dict[str, float] = {}
+    for aim in objectives:
+        if aim.kind == "wait" and aim.job_class:
+            shortest[aim.job_class] = min(aim.within_s, shortest.get(aim.job_class, aim.within_s))
+    most = ratio * min(shortest.values(), default=0.0)
+    return frozenset(name for name, within in shortest.items() if within <= most)
--- /dev/null
+++ b/src/passrock/admission/io/__init__.py
@@ -0,0 +1,1 @@
+"""Files of admission."""
--- /dev/null
+++ b/src/passrock/admission/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Stored and transmitted forms of admission."""
--- a/src/passrock/cli.py
+++ b/src/passrock/cli.py
@@ -18,11 +18,24 @@
         epilog="exit codes: 0 fine, 2 faulty settings or usage, 3 the controller could not serve",
     )
     parser.add_argument("--version", action="version", version=f"passrock {__version__}")
-    parser.add_argument("--operator", metavar="HCL", help="operators' own settings (HCL)")
+    parser.add_argument(
+        "--operator",
+        metavar="HCL",
+        action="append",
+        default=[],
+        help="operators' own settings (HCL); may be repeated",
+    )
     parser.add_argument("--config", metavar="FILE", help="serve with this settings file (TOML)")
     commands = parser.add_subparsers(dest="command", metavar="COMMAND")
     check = commands.add_parser("check-config", help="check a settings file and report every fault")
     check.add_argument("file", metavar="FILE")
+    admission = commands.add_parser("admission", help="fair admission")
+    reports = admission.add_subparsers(dest="admission_command", metavar="COMMAND", required=True)
+    report = reports.add_parser("report", help="who was served, refused and waiting, and why, from decision logs")
+    report.add_argument("paths", metavar="PATH", nargs="+", help="a decision log's directory or file")
+    report.add_argument("--from", dest="begin", metavar="TIME", help="seconds since 1970, or ISO 8601")
+    report.add_argument("--to", dest="end", metavar="TIME")
+    report.add_argument("--json", action="store_true", help="print JSON")
     return parser
 
 
@@ -31,6 +44,10 @@
     args = build_parser().parse_args(argv)
     if args.command == "check-config":
         return check_config(args.file, args.operator)
+    if args.command == "admission":
+        from passrock.admission.report import run
+
+        return run(args.paths, args.begin, args.end, args.json)
     if args.config is None:
         build_parser().print_usage(sys.stderr)
         print("passrock: give --config FILE or a command", file=sys.stderr)
@@ -38,10 +55,10 @@
     return serve_from(args.config, args.operator)
 
 
-def check_config(path: FilePath, operator_path: FilePath | None) -> int:
+def check_config(path: FilePath, operator_paths: list[FilePath]) -> int:
     """Print every fault of a settings file; returns the exit code."""
     try:
-        settings = read_settings(path, operator_path)
+        settings = read_settings(path, operator_paths)
     except SettingsError as error:
         for fault in error.faults:
             print(fault, file=sys.stderr)
--- a/src/passrock/controller/keys.py
+++ b/src/passrock/controller/keys.py
@@ -9,6 +9,7 @@
 RESERVATION = "p/r/"
 MORE = "p/m/"
 HINT = "p/h/"
+ALLOCATION = "p/a/"
 LEADER = "p/lead"
 TERM = "p/term"
 NOWHERE = "p/none"
@@ -42,3 +43,14 @@
 def final(job_id: str) -> str:
     """How a job ended."""
     return FINAL + job_id
+
+
+def allocation(slot: int, page: int) -> str:
+    """One page of a slot's allocation; in the order of slots."""
+    return f"{ALLOCATION}{slot:012d}/{page:03d}"
+
+
+def allocation_slot(key: str) -> tuple[int, int] | None:
+    """Slot and page of an allocation's key, or None when it isn't one."""
+    slot, _, page = key.removeprefix(ALLOCATION).partition("/")
+    return (int(slot), int(page)) if slot.isdecimal() and page.isdecimal() else None
--- a/src/passrock/controller/node.py
+++ b/src/passrock/controller/node.py
@@ -7,6 +7,7 @@
 import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
+from typing import TYPE_CHECKING
 
 from passrock import __version__
 from passrock.controller import keys
@@ -14,7 +15,7 @@
 from passrock.controller.replica import Replica
 from passrock.controller.term import Term
 from passrock.controller.users import Users
-from passrock.core.budget import Budget
+from passrock.core.budget import Budget, rate_share
 from passrock.core.cancellations import Cancellations
 from passrock.core.messages import Command, Op, Report, TaskState
 from passrock.core.renting import Market
@@ -31,8 +32,10 @@
 from passrock.wire.cbor import MalformedBodyError
 from passrock.wire.state import Entry
 
+if TYPE_CHECKING:
+    from passrock.admission.controller.control import AdmissionControl
+
 STATE_CONNECTIONS = 12
-LEADER_PART = 0.6
 FINALS_MEMORY_SHARE = 0.03  # of the memory, for the final states of jobs that are kept to answer questions
 FINAL_BYTES = 200  # a final state in memory
 KEEP_CANCELLED = 4.0  # times cancel_s: by then every task of a cancelled job is long gone
@@ -64,12 +67,26 @@
         self.leadership.peers = self.peers
         self.users = Users(settings, state, self.replica, self.cancellations, self.market)
         self.term: Term | None = None
+        self.admission = self._switch_on_admission(rng)
         self._share_rates(False)
 
+    def _switch_on_admission(self, rng: random.Random) -> AdmissionControl | None:
+        """Fair admission, where the operators' settings have it; nothing of it is loaded otherwise."""
+        if self.settings.admission is None:
+            return None
+        from passrock.admission.controller.control import AdmissionControl
+
+        control = AdmissionControl(
+            self.settings, self.settings.admission, self.state, self.replica, self.leadership, self.peers, rng
+        )
+        self.replica.prefixes += (keys.ALLOCATION,)
+        self.peers.extensions.append(control)
+        self.users.gate = control
+        return control
+
     def _share_rates(self, leading: bool) -> None:
         """The leader needs most of the state's rates; the others share the rest."""
-        nodes = self.settings.nodes
-        share = LEADER_PART if leading or nodes == 1 else (1 - LEADER_PART) / (nodes - 1)
+        share = rate_share(leading, self.settings.nodes)
         for budget, rate in (
             (self.state.requests, self.settings.state_rps),
             (self.state.writes, self.settings.state_write_rps),
@@ -81,6 +98,8 @@
         if self.term is not None:
             self.term.stop()
             self.term = None
+            if self.admission is not None:
+                self.admission.lead_no_longer()
         self._share_rates(self.leadership.leading)
         if self.leadership.leading:
             self.term = Term(
@@ -93,6 +112,8 @@
                 self.market,
             )
             self.term.start()
+            if self.admission is not None:
+                self.admission.lead(self.term)
 
     def _listen(self, key: str, entry: Entry | None) -> None:
         if key.startswith(keys.CANCEL) and entry is not None:
--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -38,6 +38,7 @@
     """A copy of all keys but the final ones, which are only cached."""
 
     def __init__(self, state: StateClient, finals_kept: int) -> None:
+        self.prefixes: tuple[str, ...] = LOADED  # subsystems add theirs before the copy is loaded
         self.state = state
         self.finals_kept = finals_kept
         self.entries: dict[str, Entry] = {}
@@ -70,7 +71,7 @@
         started = steady()
         fresh: dict[str, Entry] = {}
         start: int | None = None
-        for prefix in LOADED:
+        for prefix in self.prefixes:
             after, more = "", True
             while more:
                 rows, more, revision = await self.state.page(prefix, after)
--- /dev/null
+++ b/src/passrock/controller/submissions.py
@@ -0,0 +1,120 @@
+"""Accepting jobs: their first records are committed, several in one transaction when many come at once."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from passrock.controller import keys
+from passrock.core.jobs import new_record
+from passrock.core.model import Spec
+from passrock.core.records import Permit
+from passrock.io.clock import time_of_day
+from passrock.io.state import Committed, Refused, StateClient, StateError
+from passrock.wire.state import Put, Write
+
+
+class PermitLapsedError(StateError):
+    """What permitted the submission is no longer in force; nothing was accepted."""
+
+
+class Pending(msgspec.Struct):
+    """A submission that awaits its transaction, with everybody who waits for the answer."""
+
+    spec: Spec
+    permit: Permit | None
+    futures: list[asyncio.Future[bool]]
+
+    def answer(self, accepted: bool) -> None:
+        """Tell all: True when accepted now, False when known already."""
+        for future in self.futures:
+            if not future.done():
+                future.set_result(accepted)
+
+    def fail(self, problem: StateError) -> None:
+        """Tell all that it was not accepted, or that nobody knows."""
+        for future in self.futures:
+            if not future.done():
+                future.set_exception(problem)
+
+
+class Submitter:
+    """Accepts jobs, several in one transaction when many come at once."""
+
+    def __init__(self, state: StateClient, txn_ops: int) -> None:
+        self.state = state
+        self.most = max(1, txn_ops - 1)
+        self.queue: list[Pending] = []
+        self.busy = False
+
+    async def submit(self, spec: Spec, permit: Permit | None = None) -> bool:
+        """True when accepted now, False when known already; raises StateError otherwise."""
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self.queue.append(Pending(spec, permit, [future]))
+        if not self.busy:
+            self.busy = True
+            task = asyncio.ensure_future(self._drain())
+            task.add_done_callback(lambda done: done.exception())
+        return await future
+
+    async def _drain(self) -> None:
+        try:
+            while self.queue:
+                batch = self._next_batch()
+                if batch:
+                    await self._commit(batch)
+        finally:
+            self.busy = False
+
+    def _next_batch(self) -> list[Pending]:
+        """Take what fits into one transaction out of the queue, each job once."""
+        batch: dict[str, Pending] = {}
+        rest: list[Pending] = []
+        for pending in self.queue:
+            if all(future.done() for future in pending.futures):
+                continue  # everybody has given up
+            same = batch.get(pending.spec.id)
+            if same is not None:
+                same.futures += pending.futures
+            elif len(batch) < self.most:
+                batch[pending.spec.id] = pending
+            else:
+                rest.append(pending)
+        self.queue = rest
+        return list(batch.values())
+
+    async def _commit(self, batch: list[Pending]) -> None:
+        conditions: dict[str, int] = {}
+        writes: list[Write] = []
+        for pending in batch:
+            job_id, permit = pending.spec.id, pending.permit
+            conditions[keys.job(job_id)] = 0
+            conditions[keys.final(job_id)] = 0
+            if permit is not None:
+                conditions[permit.key] = permit.version
+            mark = permit.mark if permit is not None else None
+            writes.append(Put(keys.job(job_id), new_record(pending.spec, time_of_day(), mark)))
+        try:
+            result = await self.state.commit(conditions, writes)
+        except StateError as error:
+            for pending in batch:
+                pending.fail(error)
+            return
+        if isinstance(result, Committed):
+            for pending in batch:
+                pending.answer(True)
+        else:
+            self._refused(batch, result)
+
+    def _refused(self, batch: list[Pending], result: Refused) -> None:
+        """Some condition failed and nothing was written: answer those it was, and try the others again."""
+        failed = set(result.failed)
+        for pending in batch:
+            job_id, permit = pending.spec.id, pending.permit
+            if keys.job(job_id) in failed or keys.final(job_id) in failed:
+                pending.answer(False)
+            elif permit is not None and permit.key in failed:
+                pending.fail(PermitLapsedError("the permit has lapsed"))
+            else:
+                self.queue.append(pending)
--- a/src/passrock/controller/term.py
+++ b/src/passrock/controller/term.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from passrock.controller import keys
 from passrock.controller.binding_rounds import BindingRounds
@@ -19,7 +19,7 @@
 from passrock.core.aims import Aims
 from passrock.core.cancellations import Cancellations
 from passrock.core.fleet import Fleet
-from passrock.core.jobs import Book, Job
+from passrock.core.jobs import Book, Job, Live
 from passrock.core.model import Priority
 from passrock.core.placement import Placer
 from passrock.core.preemption import Preemption, stop_softly
@@ -91,6 +91,7 @@
             self.evaluations,
         )
         self.tasks: list[asyncio.Task[None]] = []
+        self.on_evaluated: Callable[[Placer, list[Live], float], None] | None = None
         self._last_evaluation = began
         self._plan_due = 0.0
 
@@ -209,6 +210,8 @@
         started = self.placer.run(now)
         for live in started:
             info("place", job=live.job.spec.id, task=live.index, attempt=live.attempt, machine=live.machine)
+        if self.on_evaluated is not None:
+            self.on_evaluated(self.placer, started, now)
         if self.placer.cut_short:
             self.evaluations.request()
         if planning:
--- a/src/passrock/controller/users.py
+++ b/src/passrock/controller/users.py
@@ -9,13 +9,15 @@
 import msgspec
 
 from passrock.controller import keys
+from passrock.controller.intake import IntakeGate, Refusal
 from passrock.controller.replica import READ_WAIT_S, ReadFence, Replica
-from passrock.core.admission import Limiter, fault
+from passrock.controller.submissions import PermitLapsedError, Submitter
 from passrock.core.cancellations import Cancellations
-from passrock.core.jobs import new_record
+from passrock.core.limiter import Limiter
 from passrock.core.model import Spec
-from passrock.core.records import CANCELLED, DONE, chunk_tasks, fits_record
+from passrock.core.records import CANCELLED, DONE, Permit, chunk_tasks, fits_record
 from passrock.core.renting import Market
+from passrock.core.submission_checks import fault
 from passrock.io.clock import steady, time_of_day
 from passrock.io.http_server import Request, Response
 from passrock.io.state import Committed, StateClient, StateError, UnknownOutcomeError
@@ -23,10 +25,11 @@
 from passrock.settings import Settings
 from passrock.wire import users as wire
 from passrock.wire.cbor import MalformedBodyError
-from passrock.wire.state import Put, Write
+from passrock.wire.state import Put
 
 SUBMIT_PATIENCE_S = 3.5
 READ_TRIES = 3
+SPARE_FOR_RETRIES = 0.5  # of a burst of reads must be free before a refused submission is looked up
 FIRST_IN_PROGRESS = 32  # requests, before any time has been measured
 LEAST_IN_PROGRESS = 4
 
@@ -53,72 +56,6 @@
     """The answer can't be given now."""
 
 
-class Submitter:
-    """Accepts jobs, several in one transaction when many come at once."""
-
-    def __init__(self, state: StateClient, txn_ops: int) -> None:
-        self.state = state
-        self.most = max(1, txn_ops - 1)
-        self.queue: list[tuple[Spec, asyncio.Future[bool]]] = []
-        self.busy = False
-
-    async def submit(self, spec: Spec) -> bool:
-        """True when accepted now, False when known already; raises StateError otherwise."""
-        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
-        self.queue.append((spec, future))
-        if not self.busy:
-            self.busy = True
-            task = asyncio.ensure_future(self._drain())
-            task.add_done_callback(lambda done: done.exception())
-        return await future
-
-    async def _drain(self) -> None:
-        try:
-            while self.queue:
-                batch: dict[str, tuple[Spec, list[asyncio.Future[bool]]]] = {}
-                rest: list[tuple[Spec, asyncio.Future[bool]]] = []
-                for spec, future in self.queue:
-                    if spec.id in batch:
-                        batch[spec.id][1].append(future)
-                    elif len(batch) < self.most and not future.done():
-                        batch[spec.id] = (spec, [future])
-                    elif not future.done():
-                        rest.append((spec, future))
-                self.queue = rest
-                if batch:
-                    await self._commit(batch)
-        finally:
-            self.busy = False
-
-    async def _commit(self, batch: dict[str, tuple[Spec, list[asyncio.Future[bool]]]]) -> None:
-        conditions: dict[str, int] = {}
-        writes: list[Write] = []
-        for spec, _ in batch.values():
-            conditions[keys.job(spec.id)] = 0
-            conditions[keys.final(spec.id)] = 0
-            writes.append(Put(keys.job(spec.id), new_record(spec, time_of_day())))
-        try:
-            result = await self.state.commit(conditions, writes)
-        except StateError as error:
-            for _, futures in batch.values():
-                for future in futures:
-                    if not future.done():
-                        future.set_exception(error)
-            return
-        failed = set() if isinstance(result, Committed) else set(result.failed)
-        for spec, futures in batch.values():
-            known = keys.job(spec.id) in failed or keys.final(spec.id) in failed
-            for future in futures:
-                if future.done():
-                    continue
-                if known:
-                    future.set_result(False)
-                elif failed:
-                    self.queue.append((spec, future))
-                else:
-                    future.set_result(True)
-
-
 class Users:
     """The user interface of one node."""
 
@@ -143,6 +80,7 @@
         self.fence = ReadFence(state, replica, 1.0 / settings.state_rps)
         self.chunk_size = chunk_tasks(settings.value_bytes)
         self.submitter = Submitter(state, settings.txn_ops)
+        self.gate: IntakeGate | None = None  # fair admission, where it is switched on
 
     def handle(self, request: Request) -> Response | Awaitable[Response]:
         """Answer, or refuse at once when too much is in progress."""
@@ -255,23 +193,60 @@
             return Response(422, wire.error_answer(problem_text))
         if self.state.writes.wait(steady()) > 1.0:
             return _refuse(self.changes, 429)
-        return self._limited(self.changes, self._submit(spec))
+        if self.gate is None or self._known_job(spec.id):
+            return self._limited(self.changes, self._submit(spec, None))
+        if self.changes.is_full():
+            return _refuse(self.changes, 429)  # before a permit is spent
+        decision = self.gate.decide(spec)
+        if isinstance(decision, Refusal):
+            return self._not_permitted(spec, decision)
+        return self._limited(self.changes, self._submit(spec, decision))
+
+    def _not_permitted(self, spec: Spec, refusal: Refusal) -> Response | Awaitable[Response]:
+        """Refuse a submission; but a retry of a job accepted elsewhere a moment ago gets its answer.
+
+        Whether it is one takes reads of the state, of which a flood of submissions must not use up the rate.
+        """
+        refused = Response(
+            429, wire.error_answer("over the grant, come back later"), retry_after=refusal.retry_after_s
+        )
+        if self.state.requests.spare(steady()) < SPARE_FOR_RETRIES or not self.questions.enter():
+            return refused
+        return self._measured(self.questions, self._known_or(spec.id, refused))
+
+    async def _known_or(self, job_id: str, refused: Response) -> Response:
+        try:
+            known = await self._look_up(job_id)
+        except (StateError, UnavailableError):
+            return refused
+        return refused if known is None else Response(200, wire.brief_answer(job_id, known.status))
 
     def _known_job(self, job_id: str) -> bool:
         """Whether the job was accepted once: then its state is the answer, though the types on offer have changed."""
         return job_id in self.replica.finals or self.replica.get(keys.job(job_id)) is not None
 
-    async def _submit(self, spec: Spec) -> Response:
+    async def _submit(self, spec: Spec, permit: Permit | None) -> Response:
+        unused = False
         try:
             async with asyncio.timeout(SUBMIT_PATIENCE_S):
                 try:
-                    if await self.submitter.submit(spec):
+                    if await self.submitter.submit(spec, permit):
                         return Response(201, wire.brief_answer(spec.id, "queued"))
+                    unused = True
                 except UnknownOutcomeError:
                     pass  # it may have been accepted: read before answering
+                except PermitLapsedError:
+                    unused = True
+                    return _refuse(self.changes, 429)
+                except StateError:
+                    unused = True
+                    raise
                 known = await self._look_up(spec.id)
         except TimeoutError:
             return _refuse(self.changes, 503)
+        finally:
+            if permit is not None and self.gate is not None:
+                self.gate.concluded(spec, unused)
         if known is None:
             return _refuse(self.changes, 503)
         return Response(200, wire.brief_answer(spec.id, known.status))
--- a/src/passrock/core/budget.py
+++ b/src/passrock/core/budget.py
@@ -4,6 +4,15 @@
 
 from threading import Lock
 
+LEADER_PART = 0.6  # of the state service's rates
+
+
+def rate_share(leading: bool, nodes: int) -> float:
+    """A controller's part of the state service's rates: the leader needs most of them, the others share the rest."""
+    if leading or nodes == 1:
+        return LEADER_PART
+    return (1 - LEADER_PART) / (nodes - 1)
+
 
 class Budget:
     """Token bucket that hands out its future: each taker is told how long to wait."""
--- a/src/passrock/core/jobs.py
+++ b/src/passrock/core/jobs.py
@@ -11,12 +11,15 @@
 from passrock.core.fleet import Fleet, Machine
 from passrock.core.messages import TaskState
 from passrock.core.model import NOTHING, Kind, Resources, Spec
-from passrock.core.records import decode_spec, encode_spec
+from passrock.core.records import PERMIT_MARK, decode_spec, encode_spec
 
 
-def new_record(spec: Spec, submitted: float) -> dict[str, Any]:
-    """The first record of an accepted job."""
-    return {"s": encode_spec(spec), "at": submitted, **Chunk(0, spec.tasks).encode()}
+def new_record(spec: Spec, submitted: float, mark: list[int] | None = None) -> dict[str, Any]:
+    """The first record of an accepted job, with the mark of its permit if it needed one."""
+    record = {"s": encode_spec(spec), "at": submitted, **Chunk(0, spec.tasks).encode()}
+    if mark is not None:
+        record[PERMIT_MARK] = mark
+    return record
 
 
 class Live(msgspec.Struct):
--- a/src/passrock/core/admission.py
+++ b/src/passrock/core/limiter.py
@@ -1,33 +1,13 @@
-"""What is taken in: the checks on a submission, and the limit on requests in progress."""
+"""The limit on requests in progress, adjusted to measured times."""
 
 from __future__ import annotations
 
 from threading import Lock
 
-from passrock.core.model import Kind, MachineType, Spec, Team
-
 RETRY_LEAST_S = 1
 RETRY_MOST_S = 30
 
 
-def fault(spec: Spec, teams: dict[str, Team], types: dict[str, MachineType]) -> str | None:
-    """Why a job can never run, or None."""
-    team = teams.get(spec.team)
-    if team is None:
-        return "unknown team"
-    if not any(
-        spec.need.fits(kind.size) and any(spec.allows(kind.name, zone, False) for zone in kind.zones)
-        for kind in types.values()
-    ):
-        return "a task fits no allowed machine type"
-    at_once = 1 if spec.kind is Kind.ARRAY else spec.tasks
-    if not team.within_limit(spec.need.times(at_once)):
-        return "more than the team's limit"
-    if spec.one_zone and spec.spread and spec.tasks > 1 and spec.kind is not Kind.ARRAY:
-        return "one zone and spread exclude each other"
-    return None
-
-
 class Limiter:
     """A limit on requests in progress that follows measured times.
 
@@ -52,6 +32,11 @@
             self.busy += 1
             return True
 
+    def is_full(self) -> bool:
+        """Whether one more would be refused."""
+        with self._lock:
+            return self.busy >= int(self.limit)
+
     def leave(self, took: float, failed: bool) -> None:
         """One has been answered after ``took`` seconds."""
         with self._lock:
--- a/src/passrock/core/placement.py
+++ b/src/passrock/core/placement.py
@@ -72,6 +72,8 @@
         self.strays: set[tuple[str, int]] = set()
         self.stray_use: dict[str, Resources] = {}
         self.guaranteed: set[str] = set()
+        self.favoured: frozenset[str] = frozenset()  # jobs that go before all others, as fair admission decides
+        self.protected: frozenset[str] = frozenset()  # jobs that are not displaced, for the same reason
         self._ranks: dict[str, tuple[bool, bool, int]] = {}  # by job, as of the same version
         self._guaranteed_as_of = -1
         self.aims = aims
@@ -129,12 +131,13 @@
             and not (job.spec.kind is Kind.GANG and job.live_count > 0)
         ]
 
-        def order(job: Job) -> tuple[bool, bool, bool, float, float]:
+        def order(job: Job) -> tuple[bool, bool, bool, bool, float, float]:
             production, guaranteed, _ = self.rank(job)
+            behind = job.spec.id not in self.favoured
             if self.aims.overdue(job, now):  # oldest first; otherwise those past all aims would wait for ever
-                return not production, False, False, job.waiting_since, job.order
+                return behind, not production, False, False, job.waiting_since, job.order
             due = self.aims.due(job, now, guaranteed, self.longest_fetch(job))
-            return not production, True, not guaranteed, due, job.order
+            return behind, not production, True, not guaranteed, due, job.order
 
         return sorted(ready, key=order)
 
@@ -169,6 +172,8 @@
             if job.spec.kind is Kind.GANG:
                 started += self.place_gang(job, now)
             else:
+                if job.spec.id in self.favoured:
+                    self.keep_room(job, now)
                 started += self.place_each(job, now)
         self.waiting = [job for job in self.waiting if job.waiting > 0]
         return started
@@ -188,7 +193,9 @@
 
     def allowed_now(self, job: Job, count: int) -> bool:
         """Whether the team's limit has room for ``count`` more tasks, possibly-there ones counted."""
-        team = self.teams[job.spec.team]
+        team = self.teams.get(job.spec.team)
+        if team is None:
+            return False  # its limit isn't known since the team was taken out of the settings; the job stays known
         used = self.book.usage.get(team.name, NOTHING) + self.stray_use.get(team.name, NOTHING)
         return team.within_limit(used + job.spec.need.times(count))
 
@@ -272,7 +279,7 @@
                 self.hopeless[kind] = 1
             return started
         cap = spec.zone_cap()
-        for index in job.next_waiting(ARRAY_BATCH):
+        for index in job.next_waiting(1 if spec.id in self.favoured else ARRAY_BATCH):
             if (spec.id, index) in self.strays:
                 continue
             if not self.allowed_now(job, 1):
@@ -347,7 +354,7 @@
     # -- room kept for what has waited long ------------------------------------------------
 
     def keep_room(self, job: Job, now: float) -> list[Live]:
-        """Hold machines for a gang that has waited long, until enough of them are free at once.
+        """Hold machines for a gang that has waited long, or one for a favoured job, until they are free at once.
 
         Smaller jobs took each machine as it came free or up, so that a large gang never saw all it
         needs at one time. What runs on the machines ends by itself or is displaced where the rules of
@@ -355,10 +362,12 @@
         nothing has been placed.
         """
         spec = job.spec
-        if not self.aims.overdue(job, now) or not self.allowed_now(job, spec.tasks):
+        wanted = spec.tasks if spec.kind is Kind.GANG else 1
+        goes_first = spec.id in self.favoured or self.aims.overdue(job, now)
+        if not goes_first or not self.allowed_now(job, wanted):
             return []
         mine = {name for name, hold in self.holds.items() if hold.job == spec.id}
-        if 2 * (len(self.holds) - len(mine) + spec.tasks) > len(self.usable) and len(self.holds) > len(mine):
+        if 2 * (len(self.holds) - len(mine) + wanted) > len(self.usable) and len(self.holds) > len(mine):
             return []  # others' kept room already is a large part of the fleet: one after the other
         best: tuple[float, list[Machine]] | None = None
         for zone in self.gang_zones(job):
@@ -369,9 +378,9 @@
                 if spec.allows(machine.type.name, machine.zone, machine.spot) and spec.need.fits(machine.type.size):
                     wait = self.wait_for(machine, spec.need, now)
                     slots.append((wait, machine.name not in mine, machine.name, machine))
-            chosen = nsmallest(spec.tasks, slots, key=lambda slot: slot[:3])
+            chosen = nsmallest(wanted, slots, key=lambda slot: slot[:3])
             if chosen:
-                price = (len(chosen) < spec.tasks, chosen[-1][0] - 5 * self.patience * sum(not s[1] for s in chosen))
+                price = (len(chosen) < wanted, chosen[-1][0] - 5 * self.patience * sum(not s[1] for s in chosen))
                 rank = price[0] * 1e6 + price[1]
                 if best is None or rank < best[0]:
                     best = (rank, [slot[3] for slot in chosen])
--- a/src/passrock/core/preemption.py
+++ b/src/passrock/core/preemption.py
@@ -37,6 +37,8 @@
     def may_stop(self, victim: Live, job: Job, now: float) -> bool:
         """PROTOCOL's reasons: higher priority, or work beyond another team's guarantee."""
         other = victim.job
+        if other.spec.id in self.placer.protected:
+            return False
         if other is job or other.cancelled or self.placer.rank(job) <= self.placer.rank(other):
             return False
         at_once = job.spec.priority is Priority.PRODUCTION or self.revocable(victim, job)
--- a/src/passrock/core/records.py
+++ b/src/passrock/core/records.py
@@ -12,6 +12,18 @@
 DESCRIPTION_BYTES = 1200  # kept free in a job's own record for its description
 DONE = "done"
 CANCELLED = "cancelled"
+PERMIT_MARK = "ad"  # the field of a job's first record with the mark of its permit
+
+
+class Permit(msgspec.Struct, frozen=True):
+    """What a submission's transaction depends on, and the mark that the job's first record carries of it.
+
+    A job is accepted only while the record under ``key`` has this version.
+    """
+
+    key: str
+    version: int
+    mark: list[int]
 
 
 def chunk_tasks(value_bytes: int) -> int:
--- a/src/passrock/core/renting.py
+++ b/src/passrock/core/renting.py
@@ -82,7 +82,9 @@
 
 def in_reach(job: Job, teams: dict[str, Team], used: dict[str, Resources]) -> int:
     """How many of the job's waiting tasks the team's limit would let run, given planned use."""
-    team = teams[job.spec.team]
+    team = teams.get(job.spec.team)
+    if team is None:
+        return 0  # taken out of the settings: nothing is started for it
     planned = used.get(team.name, NOTHING)
 
     def is_over(count: int) -> bool:
--- a/src/passrock/io/peers.py
+++ b/src/passrock/io/peers.py
@@ -41,6 +41,11 @@
     first: int = 0
     total: int = 0
     cancelled: tuple[str, ...] = ()
+    extensions: dict[str, bytes] | msgspec.UnsetType = msgspec.UNSET  # absent unless a subsystem is switched on
+
+    def extension(self, name: str) -> bytes | None:
+        """What a subsystem of the sender has to say, or None where it is switched off there."""
+        return None if self.extensions is msgspec.UNSET else self.extensions.get(name)
 
     def fault(self) -> str | None:
         """What this message says that can't be, or None."""
@@ -162,6 +167,18 @@
         self.heard(heartbeat, self.asked_at)
 
 
+class Extension(Protocol):
+    """A subsystem's own part in what controllers tell each other. It bounds and checks what it exchanges."""
+
+    name: str
+
+    def outgoing(self) -> bytes:
+        """What goes with this controller's view."""
+
+    def received(self, node: str, data: bytes) -> None:
+        """A peer's part arrived."""
+
+
 class Link(Protocol):
     """A way to ask one peer."""
 
@@ -188,6 +205,7 @@
         self.own_view = own_view
         self.seen = seen
         self.cancellations = cancellations
+        self.extensions: list[Extension] = []
         self.knowledge = [PeerKnowledge() for _ in links]
         for link, knowledge in zip(links, self.knowledge, strict=True):
             link.heard = partial(self._heard, knowledge)
@@ -202,8 +220,8 @@
 
     def reply(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take in a peer's view and give ours, with the cancellations that it doesn't know yet."""
-        self.seen(heartbeat)
-        view = self.own_view()
+        self._take(heartbeat)
+        view = self._view()
         start = heartbeat.taken if heartbeat.taken_run == view.run else 0
         first, entries = self.cancellations.piece(start, PIECE)
         total = self.cancellations.total
@@ -222,12 +240,26 @@
         )
         for job_id in fresh:
             self.cancellations.learn(job_id, steady())
+        self._take(heartbeat)
+
+    def _take(self, heartbeat: Heartbeat) -> None:
         self.seen(heartbeat)
+        for extension in self.extensions:
+            data = heartbeat.extension(extension.name)
+            if data is not None:
+                extension.received(heartbeat.node, data)
+
+    def _view(self) -> Heartbeat:
+        """Our view, with what the subsystems that are switched on add to it."""
+        view = self.own_view()
+        if not self.extensions:
+            return view
+        return msgspec.structs.replace(view, extensions={one.name: one.outgoing() for one in self.extensions})
 
     async def run(self, every: float) -> None:
         """Ask every peer again and again."""
         while True:
-            heartbeat = self.own_view()
+            heartbeat = self._view()
             await asyncio.gather(
                 *(
                     link.ask(msgspec.structs.replace(heartbeat, taken_run=known.run, taken=known.taken), every)
--- a/src/passrock/serving.py
+++ b/src/passrock/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Sequence
 
 from passrock.settings import FilePath, SettingsError, read_settings
 
@@ -10,10 +11,10 @@
 EXIT_CANNOT_SERVE = 3
 
 
-def serve_from(path: FilePath, operator_path: FilePath | None = None) -> int:
+def serve_from(path: FilePath, operator_paths: Sequence[FilePath] = ()) -> int:
     """Serve until killed; returns the exit code."""
     try:
-        settings = read_settings(path, operator_path)
+        settings = read_settings(path, operator_paths)
     except SettingsError as error:
         print(f"passrock: {path}: {error}", file=sys.stderr)
         return EXIT_FAULTY_SETTINGS
--- a/src/passrock/settings.py
+++ b/src/passrock/settings.py
@@ -4,7 +4,8 @@
 
 import os
 import tomllib
-from typing import Any
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
@@ -12,6 +13,9 @@
 from passrock.core.cancellations import renewal_horizon
 from passrock.core.model import Team
 
+if TYPE_CHECKING:
+    from passrock.admission.settings import AdmissionSettings
+
 FilePath = str | os.PathLike[str]
 
 LEAST_CPU = 0.05  # of a core: a start alone takes a seventh of a second of a whole one
@@ -98,6 +102,7 @@
     cpu: float  # the share of a core that a controller has
     memory_mb: float
     operator: Operator = msgspec.field(default_factory=Operator)
+    admission: AdmissionSettings | None = None  # switched off
 
     @property
     def nodes(self) -> int:
@@ -172,21 +177,34 @@
         return Address("0.0.0.0", 1)
 
 
-def read_settings(path: FilePath, operator_path: FilePath | None = None) -> Settings:
-    """Read and check both files; raises SettingsError with every fault."""
+class OperatorFiles(msgspec.Struct):
+    """What the operators' files hold: ratios, and the blocks of subsystems that they switch on."""
+
+    operator: Operator = msgspec.field(default_factory=Operator)
+    admission: AdmissionSettings | None = None
+
+
+def read_settings(path: FilePath, operator_paths: Sequence[FilePath] = ()) -> Settings:
+    """Read and check all files; raises SettingsError with every fault."""
     try:
         with open(path, "rb") as file:
             data = tomllib.load(file)
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
     faults: list[str] = []
-    operator = Operator()
-    if operator_path is not None:
-        operator = read_operator(operator_path, faults)
-    settings = parse_settings(data, operator, faults)
+    files = read_operator_files(operator_paths, faults) if operator_paths else OperatorFiles()
+    settings = parse_settings(data, files.operator, faults)
+    if files.admission is not None:
+        faults += unknown_teams(files.admission, settings)
     if faults:
         raise SettingsError(faults)
-    return settings
+    return msgspec.structs.replace(settings, admission=files.admission)
+
+
+def unknown_teams(admission: AdmissionSettings, settings: Settings) -> list[str]:
+    """Weights for teams that the platform doesn't name."""
+    strangers = sorted(admission.team_weights.keys() - settings.teams.keys())
+    return [f"admission.team_weights.{name}: no such team" for name in strangers]
 
 
 def parse_settings(data: dict[str, Any], operator: Operator, faults: list[str]) -> Settings:
@@ -282,28 +300,48 @@
         )
 
 
-def read_operator(path: FilePath, faults: list[str]) -> Operator:
-    """Read the HCL file; unknown and out-of-range entries are faults by name."""
+def read_operator_files(paths: Sequence[FilePath], faults: list[str]) -> OperatorFiles:
+    """Read HCL files, each setting from one of them; unknown and out-of-range entries are faults by name."""
     import hcl2  # a slow import, and only needed where operators have such a file
 
-    try:
-        with open(path, encoding="utf-8") as file:
-            data = hcl2.load(file)
-    except Exception as error:  # the parser raises many kinds, all of which mean an unreadable file
-        faults.append(f"{path}: {' '.join(str(error).split())[:200]}")
-        return Operator()
-    known = set(Operator.__struct_fields__)
     values: dict[str, float] = {}
-    for key, value in data.items():
-        if key.startswith("__"):
+    files = OperatorFiles()
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8") as file:
+                data = hcl2.load(file)
+        except Exception as error:  # the parser raises many kinds, all of which mean an unreadable file
+            faults.append(f"{path}: {' '.join(str(error).split())[:200]}")
             continue
-        if key not in known:
-            faults.append(f"{path}: {key}: unknown setting")
-        elif isinstance(value, bool) or not isinstance(value, int | float):
-            faults.append(f"{path}: {key}: a number is required")
-        else:
-            low, high = RANGES[key]
-            if not low <= value <= high:
-                faults.append(f"{path}: {key}: {value} is outside {low} to {high}")
-            values[key] = float(value)
-    return Operator(**values)
+        for key, value in data.items():
+            if key == "admission":
+                _read_admission(files, value, f"{path}", faults)
+            elif not key.startswith("__"):
+                _read_ratio(values, key, value, f"{path}", faults)
+    files.operator = Operator(**values)
+    return files
+
+
+def _read_ratio(values: dict[str, float], key: str, value: object, where: str, faults: list[str]) -> None:
+    if key not in RANGES:
+        faults.append(f"{where}: {key}: unknown setting")
+        return
+    if key in values:
+        faults.append(f"{where}: {key}: stands there twice")
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        faults.append(f"{where}: {key}: a number is required")
+        return
+    low, high = RANGES[key]
+    if not low <= value <= high:
+        faults.append(f"{where}: {key}: {value} is outside {low} to {high}")
+    values[key] = float(value)
+
+
+def _read_admission(files: OperatorFiles, value: object, where: str, faults: list[str]) -> None:
+    from passrock.admission.settings import parse_admission  # not loaded where it is switched off
+
+    blocks = value if isinstance(value, list) else [value]
+    if files.admission is not None or len(blocks) != 1 or not isinstance(blocks[0], dict):
+        faults.append(f"{where}: admission: one block is required")
+        return
+    files.admission = parse_admission(blocks[0], where, faults)
--- a/tests/test_renting_and_admission.py
+++ b/tests/test_renting_and_admission.py
@@ -2,11 +2,12 @@
 
 import pytest
 
-from passrock.core.admission import Limiter, fault
 from passrock.core.budget import Budget
+from passrock.core.limiter import Limiter
 from passrock.core.messages import TaskState
 from passrock.core.model import Kind, Resources, Team
 from passrock.core.renting import Market, Offer, plan_rentals, plan_returns
+from passrock.core.submission_checks import fault
 from tables import AIMS, BOX, TEAMS, Desk, spec
 
 EXITED = TaskState.EXITED
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -98,11 +98,11 @@
     table, path = tmp_path / "node.toml", tmp_path / "passrock.hcl"
     table.write_text(toml(node_table(0, 3, ("a", "b", "c"))))
     path.write_text("round_s = 30\nalpha_extra = 0.2\n")
-    assert read_settings(table, path).operator.round_s == 30
-    assert read_settings(table, ROOT / "deploy" / "passrock.hcl").operator == Operator()
+    assert read_settings(table, [path]).operator.round_s == 30
+    assert read_settings(table, [ROOT / "deploy" / "passrock.hcl"]).operator == Operator()
     path.write_text('round_s = 0\nspeed = 3\nsilent_ratio = "x"\n')
     with pytest.raises(SettingsError) as caught:
-        read_settings(table, path)
+        read_settings(table, [path])
     assert len(caught.value.faults) == 3
     assert {word for fault in caught.value.faults for word in fault.split(": ")} >= {
         "round_s",
