Admission: pace by the leader's write delay, units elsewhere for small flows; tests, load tool, report

Change: capacity follows the delay of the leader's writes; a small flow has a unit at each controller; a slot without an allocation is decided at once; no slot is sent twice without a record before it (a late copy wrote slot 0 again in a history of the simulation).

--- a/src/passrock/admission/controller/allocator.py
+++ b/src/passrock/admission/controller/allocator.py
@@ -11,6 +11,7 @@
 from passrock.admission.controller.outcomes import SlotOutcomes
 from passrock.admission.core.allocation import Allocation, Allocator, Service, Shares
 from passrock.admission.core.demand import DemandReport
+from passrock.admission.core.pace import Pace
 from passrock.admission.settings import AdmissionSettings
 from passrock.admission.wire.allocation_record import encode_allocation
 from passrock.controller import keys
@@ -23,6 +24,8 @@
 from passrock.wire.state import Delete, Put, Write
 
 DECIDE_AT = 0.5  # of a slot: from then on the next one is decided
+TOO_LATE = 0.9  # of a slot without an allocation: from then on it isn't worth one
+PACE_TARGET = 2.0  # report intervals: a task's start waits for a report of its machine anyway
 TICKS = 16  # in a slot, between looks whether one has to be decided
 SETTLED_AFTER = 2  # slots: by then everything admitted in a slot is in the copy of the state
 
@@ -39,6 +42,7 @@
         store: AllocationStore,
         outcomes: SlotOutcomes,
         own_demand: Callable[[], DemandReport],
+        write_delay: Callable[[], float],
     ) -> None:
         self.settings = settings
         self.admission = admission
@@ -47,11 +51,14 @@
         self.store = store
         self.outcomes = outcomes
         self.own_demand = own_demand
+        self.write_delay = write_delay
+        self.pace = Pace(settings.report_s * PACE_TARGET)
         self.clock = outcomes.clock
         self.demand = outcomes.demand
         self.watch = outcomes.dispatch.watch
         self.shares = Shares(admission.interactive_share, admission.burst_share, admission.interactive_most)
         self._resumed = False
+        self._last_sent = -math.inf  # the last slot of which a record was sent
 
     async def run(self) -> None:
         """Decide for ever; a decision that fails is taken up again at the next look."""
@@ -70,18 +77,25 @@
         """The slot that has to be decided now, if any."""
         now = time_of_day()
         slot = self.clock.number(now)
-        if self.clock.elapsed(now) >= DECIDE_AT:
-            slot += 1
+        elapsed = self.clock.elapsed(now)
         latest = self.store.latest()
-        return slot if latest is None or latest.allocation.slot < slot else None
+        if elapsed >= (TOO_LATE if latest is None or latest.allocation.slot < slot else DECIDE_AT):
+            slot += 1
+        if latest is None:
+            # Without a record before it, a transaction that is applied late could write a slot again after its record
+            # was deleted. So no slot is sent twice; with one before it, that one's deletion makes it fail.
+            return slot if slot > self._last_sent else None
+        return slot if latest.allocation.slot < slot else None
 
     async def decide(self, slot: int) -> None:
         """Allocate a slot and commit it, unless any leader has done so before: what is committed stays."""
         latest = self.store.latest()
         if latest is not None and not self._resumed:
+            self.pace.part = latest.allocation.pace
             self.watch.resume(latest.allocation.started)
             self.demand.know_lives((node, column.life) for node, column in latest.allocation.columns.items())
         self._resumed = True
+        self.pace.measured(self.write_delay())
         self.demand.take(self.own_demand(), self.leadership.term, steady())
         over = self.store.up_to(slot - SETTLED_AFTER)
         allocation = self._allocate(slot, latest, over)
@@ -93,6 +107,7 @@
         for page, value in enumerate(pages):
             conditions[keys.allocation(slot, page)] = 0
             writes.append(Put(keys.allocation(slot, page), value))
+        self._last_sent = slot
         writes += self._deletions(over)[: self.settings.txn_ops - len(writes)]
         result = await self.state.commit(conditions, writes)
         if isinstance(result, Committed):
@@ -111,13 +126,14 @@
         for node, column in columns.items():
             column.life = lives[node]
         node, term = self.settings.node, self.leadership.term
-        return Allocation(slot, term, node, columns, service, slot - SETTLED_AFTER, dict(self.watch.started))
+        settled, started = slot - SETTLED_AFTER, dict(self.watch.started)
+        return Allocation(slot, term, node, columns, service, settled, started, self.pace.part)
 
     def _capacity(self, slot: int, nodes: list[str]) -> dict[str, int]:
         """How many submissions each controller's part of the state's write rate carries in the slot, or its rest."""
         today = time_of_day()
         rest = 1.0 - self.clock.elapsed(today) if self.clock.number(today) == slot else 1.0
-        writes = self.settings.state_write_rps * self.clock.length_s * rest
+        writes = self.settings.state_write_rps * self.clock.length_s * rest * self.pace.part
         count = self.settings.nodes
         follower = writes * rate_share(False, count) * self.admission.intake_share
         leader = writes * rate_share(True, count) * self.admission.leader_intake_share
--- a/src/passrock/admission/controller/control.py
+++ b/src/passrock/admission/controller/control.py
@@ -171,7 +171,14 @@
         )
         outcomes = SlotOutcomes(self.clock, self.weights, self.admitted, self.demand, dispatch, self._concluded)
         allocator = SlotAllocator(
-            self.settings, admission, self.state, self.leadership, self.store, outcomes, self.report
+            self.settings,
+            admission,
+            self.state,
+            self.leadership,
+            self.store,
+            outcomes,
+            self.report,
+            term.commit_queue.delay,
         )
         term.on_evaluated = dispatch.evaluated
         self._deciding = asyncio.ensure_future(self._decide(term, allocator))
--- a/src/passrock/admission/controller/intake.py
+++ b/src/passrock/admission/controller/intake.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from passrock.admission.controller.allocation_store import AllocationStore
-from passrock.admission.core.allocation import Allocation
+from passrock.admission.core.allocation import SMALL_FLOW, Allocation
 from passrock.admission.core.demand import DemandCounter
 from passrock.admission.core.flows import Flow, Weights
 from passrock.admission.core.grants import Grants, Spent
@@ -90,11 +90,11 @@
     def _come_back_s(self, flow: Flow, slot: int, now: float) -> int:
         """When the flow's queue is likely to have come to this submission, at the rate of its present grant."""
         following = self.clock.until(slot + 1, now)
-        if self.weights.is_interactive(flow):
-            return min(RETRY_MOST_S, max(RETRY_LEAST_S, math.ceil(following)))
         stored = self.store.get(slot)
         granted = 0 if stored is None else stored.granted.get(flow, 0)
-        slots = self.demand.waiting(flow) / max(1, granted)
-        spread = self.rng.random() * self.clock.length_s
-        wait = following + min(RETRY_MOST_S, slots * self.clock.length_s) + spread
-        return min(RETRY_MOST_S, max(RETRY_LEAST_S, math.ceil(wait)))
+        waiting = self.demand.waiting(flow)
+        ahead = waiting / max(1, granted)
+        if self.weights.is_interactive(flow) or waiting <= SMALL_FLOW or ahead < 1.0:
+            return max(RETRY_LEAST_S, math.ceil(following))
+        wait = following + (ahead - self.rng.random()) * self.clock.length_s
+        return max(RETRY_LEAST_S, math.ceil(min(wait, RETRY_MOST_S / 2)))  # a user gives up after twice the most
--- a/src/passrock/admission/core/allocation.py
+++ b/src/passrock/admission/core/allocation.py
@@ -12,6 +12,7 @@
 from passrock.admission.core.flows import Flow, Weights
 
 QUANTA = 256  # steps in which a slot's capacity is divided at the most
+SMALL_FLOW = 2  # submissions for each controller
 AGEING_S = 60.0  # a class's weight doubles when its oldest submission has waited for this long
 
 
@@ -45,13 +46,13 @@
         weight = weights.job_class(flow.job_class) * ageing(age_s)
         self.flows[flow] = max(0.0, self.flows.get(flow, 0.0) + units / weight)
 
-    def settle(self, active: set[Flow]) -> None:
-        """Take off what everyone that asks has received: who asks for nothing can't save up."""
-        active_teams = {flow.team for flow in active}
-        floor = min((self.teams.get(team, 0.0) for team in active_teams), default=math.inf)
+    def settle(self, unmet: set[Flow]) -> None:
+        """Take off what everyone with unmet demand has received: nobody else can save up."""
+        unmet_teams = {flow.team for flow in unmet}
+        floor = min((self.teams.get(team, 0.0) for team in unmet_teams), default=math.inf)
         self.teams = {team: left for team, used in self.teams.items() if (left := used - floor) > 0}
         floors: dict[str, float] = {}
-        for flow in active:
+        for flow in unmet:
             floors[flow.team] = min(floors.get(flow.team, math.inf), self.flows.get(flow, 0.0))
         self.flows = {
             flow: left for flow, used in self.flows.items() if (left := used - floors.get(flow.team, math.inf)) > 0
@@ -68,6 +69,7 @@
     service: Service = msgspec.field(default_factory=Service)
     settled: int = 0  # up to this slot, service counts what was admitted and not what was granted
     started: dict[Flow, float] = msgspec.field(default_factory=dict)  # last starts of flows with waiting jobs
+    pace: float = 1.0  # the part of the capacity that the leader's writes could follow
 
     def granted(self) -> dict[Flow, int]:
         """What each flow was granted, at all controllers together."""
@@ -123,9 +125,11 @@
         for node, flows in demand.items():
             if node in self.open:
                 self._note_demand(node, flows)
+        self._expect_elsewhere()
 
     def _open_column(self, node: str, units: int) -> None:
-        interactive = min(units, math.ceil(units * self.shares.interactive))
+        part = self.shares.interactive if self.weights.any_interactive else 0.0
+        interactive = min(units, math.ceil(units * part))
         shared = min(units - interactive, math.ceil(units * self.shares.burst))
         self.columns[node] = Column(0, interactive, shared)
         self.open[node] = units - interactive - shared
@@ -136,14 +140,25 @@
                 self.wanted.setdefault(flow, {})[node] = demand.wanted
                 self.age[flow] = max(self.age.get(flow, 0.0), demand.oldest_s)
 
+    def _expect_elsewhere(self) -> None:
+        """Who was refused by one controller may come again at another: a unit of each small flow at each of them.
+
+        A flow of a few submissions would otherwise meet its grant by luck, while its user's patience runs out. Large
+        ones are heard of everywhere, or come again where they were refused.
+        """
+        for wanted in self.wanted.values():
+            if sum(wanted.values()) > SMALL_FLOW * len(self.open):
+                continue
+            for node in self.open:
+                wanted.setdefault(node, 1)
+
     def run(self) -> dict[str, Column]:
         """Grant everything: to interactive flows up to their part, to all, and the rest to common reserves."""
         interactive = {flow for flow in self.wanted if self.weights.is_interactive(flow)}
-        active = set(self.wanted)
         total = sum(self.open.values())
         self._fill(interactive, math.floor(total * self.shares.interactive_most))
-        self._fill(active, total)
-        self.service.settle(active)
+        self._fill(set(self.wanted), sum(self.open.values()))
+        self.service.settle({flow for flow, wanted in self.wanted.items() if any(wanted.values())})
         for node, left in self.open.items():
             self.columns[node].shared += left
         return self.columns
--- a/src/passrock/admission/core/flows.py
+++ b/src/passrock/admission/core/flows.py
@@ -44,6 +44,11 @@
         """The weight of a class among those of its team."""
         return self._classes.get(name, DEFAULT_WEIGHT)
 
+    @property
+    def any_interactive(self) -> bool:
+        """Whether any class is interactive, so that a reserve for them makes sense."""
+        return bool(self._interactive)
+
     def is_interactive(self, flow: Flow) -> bool:
         """Whether the flow's users wait for its jobs to begin."""
         return flow.job_class in self._interactive
--- a/src/passrock/admission/wire/allocation_record.py
+++ b/src/passrock/admission/wire/allocation_record.py
@@ -46,6 +46,7 @@
     team_service: dict[str, float]
     flow_service: dict[str, dict[str, float]]
     started: dict[str, dict[str, int]]
+    pace: float
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -66,6 +67,7 @@
         {team: round(used, 3) for team, used in allocation.service.teams.items()},
         _by_team({flow: round(used, 3) for flow, used in allocation.service.flows.items()}),
         _by_team({flow: math.floor(at) for flow, at in allocation.started.items()}),
+        round(allocation.pace, 3),
     )
     text = base64.b85encode(zstd.compress(_encoder.encode(form), LEVEL)).decode()
     size = value_bytes - PAGE_SPARE
@@ -108,6 +110,7 @@
         Service(form.team_service, _flat(form.flow_service)),
         form.settled,
         {flow: float(at) for flow, at in _flat(form.started).items()},
+        form.pace,
     )
 
 
--- a/src/passrock/controller/commit_queue.py
+++ b/src/passrock/controller/commit_queue.py
@@ -59,6 +59,11 @@
         self.on_commit = on_commit
         self.on_lost = on_lost
 
+    def delay(self) -> float:
+        """Seconds that the changes which wait now take at this node's rate."""
+        changes = len(self.book.dirty) + FINAL_WRITES * len(self.book.finishing) + len(self.orphans)
+        return changes / self.state.writes.rate
+
     async def run(self) -> None:
         """Commit for ever."""
         while True:
--- /dev/null
+++ b/tests/admission_flood.py
@@ -0,0 +1,82 @@
+"""A long flood on loopback: python tests/admission_flood.py [--off] [--minutes M] [--rate R] [--seed S].
+
+Not a test: it measures in real time. Three controller processes, stand-ins for state service, cloud and workers, a
+flood of batch submissions, interactive ones, and a class of low priority; the leader is killed every few minutes.
+"""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+sys.path[:0] = [str(Path(__file__).parent), str(Path(__file__).parents[1] / "src")]
+
+from standins.flood import OBJECTIVES, AdmissionChecker, Flood, longest_gap, note_starts  # noqa: E402
+from standins.loopback import ROOT, LoopbackWorld  # noqa: E402
+
+WINDOW_S = 600.0
+FLOWS = (  # first number, class, submissions a second (None: the flood's rate), seconds a task runs, what is asked
+    (900_000, "look", 0.5, 10.0, {"precedence": "prod"}),
+    (100_000, "batch", None, 8.0, {"precedence": "high"}),
+    (800_000, "low", 0.05, 8.0, {"precedence": "low"}),
+    (850_000, "gang", 0.02, 8.0, {"precedence": "low", "format": "group", "volumes": 4, "cards": 2.0}),
+)
+
+
+async def flood(options, folder):
+    """Play it; the world, the checker, starts by class, and when the flood began and ended."""
+    world = LoopbackWorld(options.seed, zones=("a",), machines=8, objectives=OBJECTIVES, capacity=(0, 0))
+    world.operator = [] if options.off else [ROOT / "deploy" / "admission.hcl"]
+    checker, starts = AdmissionChecker(world), note_starts(world)
+    await world.serve(folder)
+    for name in world.nodes:
+        await world.start(name)
+    await asyncio.sleep(15.0)
+    begin, for_s = world.now(), options.minutes * 60.0
+    for first, name, rate, run_s, fields in FLOWS:
+        one = Flood(world, checker, first, shelfmark=name, **fields)
+        world.spawn(one.run(rate or options.rate, for_s, run_s=run_s))
+    while world.now() - begin < for_s:
+        await asyncio.sleep(min(180.0, for_s))
+        entry = world.state.data.get("p/lead")
+        if entry is not None:
+            await world.kill(entry[0]["node"])
+            await asyncio.sleep(3.0)
+            await world.start(entry[0]["node"])
+    end = world.now()
+    for name in world.processes:
+        await world.kill(name)
+    return world, checker, starts, begin, end
+
+
+def measure():
+    """Play it and print what was admitted and started."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--off", action="store_true")
+    parser.add_argument("--minutes", type=float, default=11.0)
+    parser.add_argument("--rate", type=float, default=60.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as folder:
+        world, checker, starts, begin, end = asyncio.run(flood(options, Path(folder)))
+    print(
+        f"admission {'off' if options.off else 'on'}, {end - begin:.0f} s, {len(checker.accepted_at)} jobs accepted"
+    )
+    print(f"rules broken: {world.checker.broken}; of admission: {checker.verify()}")
+    print("class   asked  admitted  gave up  wait p50/p99/max s       starts  longest time without a start s")
+    for first, name, *_ in FLOWS:
+        prefix = f"wk-{first}"[:6] if name in ("low", "gang") else f"wk-{first}"[:4]
+        waits = sorted(checker.waits(prefix))
+        got = [wait for wait in waits if wait < float("inf")]
+        gave_up = sum(job.startswith(prefix) for job in checker.given_up)
+        at = [got[int(len(got) * part)] if got else float("nan") for part in (0.5, 0.99)] + [max(got, default=0.0)]
+        times = starts.get(name, [])
+        print(
+            f"{name:7} {len(waits):5} {len(got):9} {gave_up:8}  {at[0]:7.2f} {at[1]:7.2f} {at[2]:7.2f}"
+            f" {len(times):12}  {longest_gap(times, begin, end):7.1f}"
+        )
+
+
+if __name__ == "__main__":
+    measure()
--- /dev/null
+++ b/tests/standins/flood.py
@@ -0,0 +1,153 @@
+"""Floods of submissions, and a checker of what fair admission promises."""
+
+import asyncio
+
+import cbor2
+
+from passrock.admission.core.flows import Flow
+from passrock.admission.settings import AdmissionSettings
+from passrock.admission.wire.allocation_record import decode_allocation
+from passrock.controller import keys
+from passrock.io.http_server import Request
+from standins.world import World
+
+GIVES_UP_S = 60.0  # users repeat a submission for so long
+OBJECTIVES = (
+    {"kind": "wait", "class": "look", "within_s": 20.0, "share": 0.9},
+    {"kind": "wait", "class": "batch", "within_s": 100.0, "share": 0.9},
+)
+ADMISSION = AdmissionSettings()
+SLOT_S = 4.0  # with the simulation's report interval
+
+
+def flood_world(seed, admission=ADMISSION, **options):
+    """Three controllers with few changes a second, and the checker."""
+    options = {"write_rps": 10.0, "objectives": OBJECTIVES, "admission": admission, **options}
+    world = World(seed, **options)
+    return world, AdmissionChecker(world)
+
+
+class AdmissionChecker:
+    """Sees each write that the state service applies; keeps (rule, detail) of what should not be."""
+
+    def __init__(self, world):
+        self.world = world
+        self.broken = []
+        self.pages = {}  # every page of an allocation that was ever written
+        self.admitted = {}  # (slot, life) -> flow -> jobs
+        self.unmarked = 0
+        self.accepted_at = {}
+        self.first_asked, self.got_in, self.given_up = {}, {}, set()
+        self._change, world.state._change = world.state._change, self._note
+
+    def _note(self, writes):
+        for write in writes:
+            key = write.get("set", "")
+            if key.startswith(keys.ALLOCATION):
+                if self.pages.setdefault(key, write["v"]) != write["v"]:
+                    self.broken.append(("two_allocations", key))
+            elif key.startswith(keys.JOB) and key not in self.world.state.data:
+                self._accepted(key[len(keys.JOB) :], write["v"])
+        self._change(writes)
+
+    def _accepted(self, job, record):
+        if job in self.accepted_at:
+            self.broken.append(("accepted_twice", job))
+        self.accepted_at[job] = self.world.now()
+        mark = record.get("ad")
+        if mark is None:
+            self.unmarked += 1
+            return
+        flow = Flow(record["s"]["t"], record["s"]["c"])
+        flows = self.admitted.setdefault(tuple(mark), {})
+        flows[flow] = flows.get(flow, 0) + 1
+
+    def allocation(self, slot):
+        pages = [value for key, value in sorted(self.pages.items()) if keys.allocation_slot(key)[0] == slot]
+        return decode_allocation(pages) if pages else None
+
+    def verify(self):
+        """Compare what was admitted with what was granted, slot by slot and controller by controller."""
+        for (slot, life), flows in self.admitted.items():
+            allocation = self.allocation(slot)
+            columns = [] if allocation is None else [c for c in allocation.columns.values() if c.life == life]
+            if len(columns) != 1:
+                self.broken.append(("no_grant", (slot, life)))
+                continue
+            self._compare(slot, columns[0], flows)
+        return self.broken
+
+    def _compare(self, slot, column, flows):
+        over = {flow: max(0, count - column.flows.get(flow, 0)) for flow, count in flows.items()}
+        interactive = sum(count for flow, count in over.items() if flow.job_class == "look")
+        others = sum(over.values()) - interactive
+        if others > column.shared or others + interactive > column.shared + column.interactive:
+            self.broken.append(("over_grant", (slot, flows, column)))
+
+    def waits(self, prefix, begin=0.0):
+        """Seconds from the first attempt to the acceptance of jobs that were first submitted after ``begin``."""
+        return [
+            self.got_in.get(job, float("inf")) - at
+            for job, at in self.first_asked.items()
+            if job.startswith(prefix) and at >= begin
+        ]
+
+
+def note_starts(world):
+    """Times of all starts, by class."""
+    starts = {}
+    started = world.checker.started
+
+    def note(worker, task):
+        starts.setdefault(world.specs[task.job]["shelfmark"], []).append(world.now())
+        started(worker, task)
+
+    world.checker.started = note
+    return starts
+
+
+def longest_gap(times, begin, end):
+    """The longest time without a start."""
+    points = [begin, *(at for at in times if begin <= at <= end), end]
+    return max(later - earlier for earlier, later in zip(points, points[1:], strict=False))
+
+
+async def submit(world, checker, spec, run_s=1.0, node=None):
+    """A user who repeats a submission as told until it is accepted, or gives up; whether it was accepted."""
+    job = spec["ref"]
+    world.specs[job], world.run_times[job] = spec, run_s
+    body = cbor2.dumps(spec)
+    first = checker.first_asked.setdefault(job, world.now())
+    while world.now() - first < GIVES_UP_S:
+        asked, wait = world.now(), 1.0
+        try:
+            async with asyncio.timeout(5.0):
+                to = node or world.rng.choice(world.serving())
+                response = await world._ask(to, Request("POST", "/v2/runs", body))
+        except (TimeoutError, ConnectionError):
+            response = None
+        if response is not None:
+            if response.status in (200, 201):
+                checker.got_in.setdefault(job, world.now())
+                world.checker.answered(job, asked, response.status, cbor2.loads(response.body), submission=True)
+                return True
+            wait = max(wait, response.retry_after or 0.0)
+        await asyncio.sleep(wait)
+    checker.given_up.add(job)
+    return False
+
+
+class Flood:
+    """Submits jobs of one class at a steady rate."""
+
+    def __init__(self, world, checker, first, **fields):
+        self.world, self.checker, self.number, self.fields = world, checker, first, fields
+
+    async def run(self, rate, for_s, run_s=1.0, node=None):
+        """Jobs at random moments; ``node``: a single controller hears them all."""
+        until = self.world.now() + for_s
+        while self.world.now() < until:
+            self.number += 1
+            spec = self.world.job(self.number, **self.fields)
+            self.world.spawn(submit(self.world, self.checker, spec, run_s, node))
+            await asyncio.sleep(self.world.rng.expovariate(rate))
--- a/tests/standins/loopback.py
+++ b/tests/standins/loopback.py
@@ -8,7 +8,7 @@
 import cbor2
 
 from passrock.io.http_client import HttpClient, NoAnswerError
-from passrock.io.http_server import HttpServer, Response
+from passrock.io.http_server import HttpServer, Request, Response
 from passrock.settings import Address
 from standins.deployment import node_table
 from standins.world import World
@@ -37,28 +37,33 @@
 
 
 class LoopbackWorld(World):
-    """One controller process between stand-in services, workers and users, in real time."""
+    """Controller processes between stand-in services, workers and users, in real time."""
 
     def start_nodes(self):
-        self.nodes = {"n0": None}
-        self.client = None
-        self.process = None
+        self.nodes = dict.fromkeys(f"n{number}" for number in range(self.node_count))
+        self.clients, self.configs, self.processes = {}, {}, {}
+        self.operator = []  # files of the operators' own settings
 
     async def serve(self, folder):
-        """Put the services on sockets and write the controller's settings."""
+        """Put the services on sockets and write the controllers' settings."""
         ports = {}
         for name, service in (("state", self.state), ("cloud", self.cloud)):
             server = HttpServer(self._handler(service), limit=100, idle_s=600, head_s=60)
             listening = await server.start("127.0.0.1", 0)
             ports[name] = listening.sockets[0].getsockname()[1]
-        port = free_port()
-        table = node_table(0, 1, self.zones)
-        table["client_listen"] = f"127.0.0.1:{port}"
-        table["peer_listen"] = f"127.0.0.1:{free_port()}"
-        table["outside"] = {name: f"127.0.0.1:{number}" for name, number in ports.items()}
-        self.config = folder / "node.toml"
-        self.config.write_text(toml(table))
-        self.client = HttpClient(Address("127.0.0.1", port), 32)
+        peers = {name: f"127.0.0.1:{free_port()}" for name in self.nodes}
+        for number, name in enumerate(self.nodes):
+            port = free_port()
+            table = node_table(number, self.node_count, self.zones)
+            table["deployment"]["objectives"] = list(self.objectives)
+            table["client_listen"] = f"127.0.0.1:{port}"
+            table["peer_listen"] = peers[name]
+            for peer in table["peers"]:
+                peer["endpoint"] = peers[peer["node"]]
+            table["outside"] = {service: f"127.0.0.1:{number}" for service, number in ports.items()}
+            self.configs[name] = folder / f"{name}.toml"
+            self.configs[name].write_text(toml(table))
+            self.clients[name] = HttpClient(Address("127.0.0.1", port), 32)
 
     @staticmethod
     def _handler(service):
@@ -68,31 +73,42 @@
 
         return handle
 
-    async def start(self):
-        """Start the controller process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, str(ROOT / "run.py"), "--config", str(self.config), stderr=asyncio.subprocess.DEVNULL
+    async def start(self, name="n0"):
+        """Start a controller process."""
+        operator = [word for path in self.operator for word in ("--operator", str(path))]
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "run.py"),
+            *operator,
+            "--config",
+            str(self.configs[name]),
+            stderr=asyncio.subprocess.DEVNULL,
         )
 
-    async def kill(self):
+    async def kill(self, name="n0"):
         """End it without a signal that it could handle."""
-        self.process.kill()
-        await self.process.wait()
+        self.processes[name].kill()
+        await self.processes[name].wait()
 
     async def to_node(self, worker, name, body, timeout):
-        return await self._call("POST", "/checkin", body, timeout)
+        return await self._call(name, "POST", "/checkin", body, timeout)
 
     async def ask(self, method, path, body=b"", timeout=2.0, node=None):
         try:
-            return await self._call(method, path, body, timeout)
+            return await self._call(node or self.rng.choice(list(self.nodes)), method, path, body, timeout)
         except ConnectionError:
             return 0, {}
 
-    async def _call(self, method, path, body, timeout):
-        if self.client is None:
-            raise ConnectionError("not yet")
+    async def _ask(self, name, request):
         try:
-            status, answer = await self.client.request(method, path, body, timeout)
+            status, body = await self.clients[name].request(request.method, request.path, request.body, 5.0)
         except NoAnswerError as error:
             raise ConnectionError(str(error)) from error
-        return status, cbor2.loads(answer) if answer else {}
+        return Response(status, body)
+
+    async def _call(self, name, method, path, body, timeout):
+        if name not in self.clients:
+            raise ConnectionError("not yet")
+        async with asyncio.timeout(timeout):
+            response = await self._ask(name, Request(method, path, body))
+        return response.status, cbor2.loads(response.body) if response.body else {}
--- a/tests/standins/sim_node.py
+++ b/tests/standins/sim_node.py
@@ -4,6 +4,8 @@
 import contextvars
 import random
 
+import msgspec
+
 from passrock.controller.node import Node
 from passrock.core.budget import Budget
 from passrock.io.cloud import CloudClient
@@ -98,7 +100,10 @@
         self.context.run(virtual_loop.OWNER.set, self)
         faults = []
         table = node_table(number, world.node_count, world.zones, world.teams, world.guarantee, world.limits)
+        table["deployment"]["objectives"] = list(world.objectives)
+        table["deployment"]["state"]["write_rps"] = world.write_rps
         settings = parse_settings(table, Operator(), faults)
+        settings = msgspec.structs.replace(settings, admission=world.admission[number])
         assert not faults, faults
         self.zone = settings.zone
         rng = random.Random(world.rng.random())
--- a/tests/standins/world.py
+++ b/tests/standins/world.py
@@ -8,6 +8,7 @@
 
 from passrock.io.clock import use_wall_clock
 from passrock.io.http_server import Request
+from standins import virtual_loop
 from standins.checker import Checker
 from standins.cloud_service import CloudService
 from standins.deployment import BOX, LIMITS, TEAMS
@@ -34,6 +35,9 @@
         capacity=(6, 3),
         limits=None,
         freezes=False,
+        admission=None,
+        objectives=(),
+        write_rps=40.0,
     ):
         self.rng = random.Random(seed)
         self.zones = zones
@@ -48,6 +52,9 @@
         self.cuts = []  # (kind, name, until)
         self.freezes = freezes  # controllers stand still now and then
         self.copy_share = copies  # of reports that arrive once more, much later
+        self.admission = {i: admission for i in range(node_count)}  # settings by node; None: switched off
+        self.objectives, self.write_rps = objectives, write_rps
+        self.clock_offset = {}  # of a node's time of day, in seconds
         self.trouble_until = 0.0
         self.state_delay = 0.0  # the state service answers so much more slowly
         self.checker = Checker(self)
@@ -67,10 +74,14 @@
 
     def start_nodes(self):
         """Controllers in this process, in virtual time."""
-        use_wall_clock(asyncio.get_running_loop().time)
+        use_wall_clock(self._time_of_day)
         for number in range(self.node_count):
             self.nodes[f"n{number}"] = SimNode(self, number)
 
+    def _time_of_day(self):
+        owner = virtual_loop.OWNER.get()
+        return self.now() + (self.clock_offset.get(owner.name, 0.0) if owner is not None else 0.0)
+
     def now(self):
         return asyncio.get_running_loop().time()
 
@@ -295,6 +306,10 @@
         while not await self.withdraw(job) and self.checker.told.get(job, (0, ""))[1] != "done":
             await asyncio.sleep(1.0)
 
+    def serving(self):
+        """Names of the nodes to which the load balancer sends users."""
+        return [name for name, sim in self.nodes.items() if sim is None or sim.alive] or list(self.nodes)
+
     def leaders(self):
         """Names of the nodes that lead by an unexpired key at this moment."""
         return [name for name, sim in self.nodes.items() if sim.alive and sim.node.leadership.holds_lease()]
--- /dev/null
+++ b/tests/test_admission_decisions.py
@@ -0,0 +1,313 @@
+"""Decisions of admission as tables: allocations, grants, demand, starts, and the forms in which they are kept."""
+
+import msgspec
+import pytest
+
+from passrock.admission.controller.allocator import shorten
+from passrock.admission.core.admitted import AdmittedJobs
+from passrock.admission.core.allocation import Allocation, Allocator, Column, Service, Shares
+from passrock.admission.core.demand import DemandCounter, DemandReport, DemandTable, FlowDemand
+from passrock.admission.core.flows import Flow, Weights
+from passrock.admission.core.grants import Grants, Source
+from passrock.admission.core.pace import LEAST, Pace
+from passrock.admission.core.slots import SlotClock
+from passrock.admission.core.starvation import Obstacle, StartWatch, WaitingJob
+from passrock.admission.wire.allocation_record import UnreadableAllocationError, decode_allocation, encode_allocation
+from passrock.admission.wire.demand_message import (
+    MESSAGE_BYTES,
+    DemandForm,
+    MalformedDemandError,
+    decode_demand,
+    encode_demand,
+)
+from passrock.core.aims import Objective
+from passrock.core.model import Team
+
+AIMS = (
+    Objective("wait", "look", 20.0, 0.9),
+    Objective("wait", "train", 70.0, 0.9),
+    Objective("finished", "quick", 5.0, 0.9),
+)
+PLAIN = Shares(0.0, 0.0, 0.0)
+
+
+def team(name, gpus=4.0, limit=8.0):
+    return Team(name, 0.0, 0.0, gpus, limit)
+
+
+def weights(teams=("a", "b"), team_weights=None, class_weights=None, ratio=1.5):
+    return Weights({name: team(name) for name in teams}, AIMS, team_weights or {}, class_weights or {}, ratio)
+
+
+def wanted(**counts):
+    """Demand by ``team_class=count`` at one controller."""
+    return {Flow(*name.split("_")): FlowDemand(count) for name, count in counts.items()}
+
+
+def totals(columns):
+    return {
+        f"{f.team}_{f.job_class}": sum(c.flows.get(f, 0) for c in columns.values())
+        for c in columns.values()
+        for f in c.flows
+    }
+
+
+@pytest.mark.parametrize(
+    ("capacity", "demand", "team_weights", "expected"),
+    [
+        ({"x": 10}, {"x": wanted(a_batch=3, b_batch=2)}, {}, {"a_batch": 3, "b_batch": 2}),  # room for all
+        ({"x": 10}, {"x": wanted(a_batch=90, b_batch=90)}, {}, {"a_batch": 5, "b_batch": 5}),
+        ({"x": 10}, {"x": wanted(a_batch=90, b_batch=2)}, {}, {"a_batch": 8, "b_batch": 2}),  # max-min
+        ({"x": 12}, {"x": wanted(a_batch=90, b_batch=90)}, {"a": 8.0}, {"a_batch": 8, "b_batch": 4}),
+        ({"x": 12}, {"x": wanted(a_one=90, a_two=90, b_batch=90)}, {}, {"a_one": 3, "a_two": 3, "b_batch": 6}),
+        ({"x": 10}, {"x": wanted(a_tiny=9000, a_huge=1)}, {}, {"a_tiny": 9, "a_huge": 1}),  # one job beside thousands
+        ({"x": 5, "y": 5}, {"x": wanted(a_batch=90), "y": wanted(b_batch=90)}, {}, {"a_batch": 5, "b_batch": 5}),
+        (
+            {"x": 9, "y": 9},
+            {"x": wanted(a_batch=90, b_batch=90)},
+            {},
+            {"a_batch": 5, "b_batch": 4},
+        ),  # y hears nothing
+        ({"x": 8}, {"x": wanted(a_batch=9, gone_batch=9)}, {}, {"a_batch": 4, "gone_batch": 4}),  # a removed team
+    ],
+)
+def test_capacity_is_divided_fairly(capacity, demand, team_weights, expected):
+    columns = Allocator(capacity, demand, Service(), weights(team_weights=team_weights), PLAIN).run()
+    assert totals(columns) == expected
+    assert {node: column.total for node, column in columns.items()} == capacity  # what nobody asks for is in reserve
+
+
+def test_reserves_come_first_and_count_in_the_sums():
+    shares = Shares(0.2, 0.1, 0.5)
+    demand = {"x": wanted(a_look=50, a_batch=50, b_batch=50)}
+    columns = Allocator({"x": 20, "y": 10}, demand, Service(), weights(), shares).run()
+    assert (columns["x"].interactive, columns["x"].shared, columns["x"].total) == (4, 2, 20)
+    assert (columns["y"].interactive, columns["y"].shared, columns["y"].total) == (2, 8, 10)
+    granted = totals(columns)
+    assert granted["a_look"] >= 10 and granted["b_batch"] > 0  # half of what is granted, and no more takes all
+
+
+def test_a_small_flow_has_a_unit_at_each_controller():
+    columns = Allocator({"x": 9, "y": 9}, {"x": wanted(a_batch=90, b_batch=1)}, Service(), weights(), PLAIN).run()
+    few = Flow("b", "batch")
+    assert [column.flows.get(few, 0) for column in columns.values()] == [1, 1]
+
+
+def test_more_flows_than_capacity_take_turns():
+    """1,000 flows of which a slot serves 37: each is served once before any is served twice."""
+    flows = [Flow(f"team-{n % 50}", f"class-{n}") for n in range(1000)]
+    one = weights(teams=[f"team-{n}" for n in range(50)])
+    service, served = Service(), dict.fromkeys(flows, 0)
+    for _ in range(1000 // 37 + 1):
+        columns = Allocator({"x": 37}, {"x": {f: FlowDemand(5) for f in flows}}, service, one, PLAIN).run()
+        for flow, units in columns["x"].flows.items():
+            served[flow] += units
+    assert min(served.values()) >= 1 and max(served.values()) <= 2
+
+
+def test_who_pauses_saves_nothing_up():
+    service, one = Service(), weights()
+    for _ in range(50):
+        Allocator({"x": 10}, {"x": wanted(a_batch=90)}, service, one, PLAIN).run()
+    columns = Allocator({"x": 10}, {"x": wanted(a_batch=90, b_batch=90)}, service, one, PLAIN).run()
+    assert totals(columns) == {"a_batch": 5, "b_batch": 5}
+
+
+def test_what_was_not_used_is_given_back():
+    service, one = Service(), weights()
+    service.charge(Flow("a", "batch"), 6, one)
+    service.charge(Flow("a", "batch"), -6, one)
+    assert service.teams == {"a": 0.0}
+
+
+@pytest.mark.parametrize(("ratio", "expected"), [(1.0, {"look"}), (1.5, {"look"}), (4.0, {"look", "train"})])
+def test_interactive_classes_are_those_with_the_shortest_aims(ratio, expected):
+    one = weights(ratio=ratio)
+    assert {name for name in ("look", "train", "quick", "batch") if one.is_interactive(Flow("a", name))} == expected
+
+
+def test_slots_of_the_time_of_day():
+    clock = SlotClock(4.0)
+    assert [clock.number(at) for at in (-0.001, 0.0, 3.999, 4.0)] == [-1, 0, 0, 1]
+    assert clock.elapsed(6.0) == 0.5 and clock.until(3, 6.0) == 6.0 and clock.until(1, 6.0) == 0.0
+
+
+def allocation(slot=7, life=5, **flows):
+    column = Column(life, 1, 1, {Flow(*name.split("_")): count for name, count in flows.items()})
+    return Allocation(slot, 3, "n1", {"n1": column, "n2": Column(9, 2, 2)}, Service({"a": 1.5}), 5)
+
+
+def test_each_unit_is_spent_once():
+    grants = Grants("n1", 5)
+    grants.open(allocation(a_batch=1))
+    grants.open(allocation(a_batch=50))  # a slot has one allocation for ever
+    batch, look = Flow("a", "batch"), Flow("a", "look")
+    sources = [grants.take(7, flow, flow is look) for flow in (batch, look, batch, look, batch)]
+    assert [one and one.source for one in sources] == [Source.FLOW, Source.INTERACTIVE, Source.SHARED, None, None]
+    grants.give_back(sources[0])
+    assert grants.take(7, look, True) is None and grants.take(7, batch, False).source is Source.FLOW
+    assert grants.take(8, batch, False) is None  # nothing was read for that slot
+
+
+def test_grants_of_a_former_life_are_not_ones_own():
+    grants = Grants("n1", 6)
+    grants.open(allocation(life=5, a_batch=9))
+    assert grants.take(7, Flow("a", "batch"), False) is None
+
+
+def test_demand_counts_each_submission_once():
+    counter = DemandCounter()
+    flow = Flow("a", "batch")
+    for job in ("one", "two", "one"):
+        counter.refused(job, flow, 4, 10.0, 30.0)
+    assert counter.demand(4, 12.0)[flow] == FlowDemand(waiting=2, arriving=2, refused=0, oldest_s=2.0)
+    assert counter.demand(5, 14.0)[flow] == FlowDemand(waiting=2, arriving=2, refused=3, oldest_s=4.0)
+    counter.admitted("one", flow, 5)
+    counter.accepted_anywhere("two")  # by another controller
+    assert counter.waiting(flow) == 0
+    counter.refused("three", flow, 6, 18.0, 20.0)
+    assert flow not in counter.demand(8, 21.0)  # not heard of again
+
+
+def report(node="n1", life=5, started=1000, number=1, term=3, **flows):
+    return DemandReport(node, life, started, number, term, wanted(**flows))
+
+
+@pytest.mark.parametrize(
+    ("reports", "taken", "waiting"),
+    [
+        ([report(a_batch=1), report(number=2, a_batch=2)], [True, True], 2),
+        ([report(number=2, a_batch=2), report(a_batch=1)], [True, False], 2),  # out of order
+        ([report(a_batch=1), report(a_batch=1)], [True, False], 1),  # twice
+        ([report(number=9, a_batch=1), report(life=6, started=2000, a_batch=4)], [True, True], 4),  # restarted
+        ([report(life=6, started=2000, a_batch=4), report(number=9, a_batch=1)], [True, False], 4),  # its former life
+        ([report(a_batch=1), report(number=2, term=2, a_batch=7)], [True, False], 1),  # of an older term
+    ],
+)
+def test_reports_of_demand(reports, taken, waiting):
+    table = DemandTable(8.0)
+    assert [table.take(one, 3, 100.0) for one in reports] == taken
+    assert table.demand(107.0)["n1"][Flow("a", "batch")].waiting == waiting
+    assert table.demand(109.0) == {} and table.lives()["n1"] in (5, 6)  # silent: its reserves are left
+
+
+def test_demand_message_is_bounded_and_round():
+    many = {Flow(f"team-{n}", "batch" * 10): FlowDemand(n, 1, 2, float(n)) for n in range(2000)}
+    body = encode_demand(DemandReport("n1", 5, 1000, 1, 3, many))
+    assert len(body) <= MESSAGE_BYTES
+    read = decode_demand("n1", body)
+    assert read.left_out + len(read.flows) == 2000 and Flow("team-1999", "batch" * 10) in read.flows
+    small = report(a_batch=1)
+    assert decode_demand("n1", encode_demand(small)) == small
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"junk",
+        b"\x00" * (MESSAGE_BYTES + 1),
+        msgspec.msgpack.encode({"version": 1}),
+        msgspec.msgpack.encode(DemandForm(2, 1, 1, 1, 1, 0)),
+        msgspec.msgpack.encode(DemandForm(1, -1, 1, 1, 1, 0)),
+        msgspec.msgpack.encode(DemandForm(1, 1, 1, 1, 1, 0, [("a", "b", -1, 0, 0, 0.0)])),
+        msgspec.msgpack.encode(DemandForm(1, 1, 1, 1, 1, 0, [("a", "b", 1 << 40, 0, 0, 0.0)])),
+        msgspec.msgpack.encode(DemandForm(1, 1, 1, 1, 1, 0, [("a", "b", 1, 0, 0, float("nan"))])),
+        msgspec.msgpack.encode(DemandForm(1, 1, 1, 1, 1, 0, [("a" * 300, "b", 1, 0, 0, 0.0)])),
+    ],
+)
+def test_malformed_demand(body):
+    with pytest.raises(MalformedDemandError):
+        decode_demand("n1", body)
+
+
+def large_allocation(count):
+    flows = {Flow(f"team-{n % 1000:04d}", f"class-{n}"): n for n in range(count)}
+    columns = {f"n{i}": Column(1 << 47, 3, 4, dict(flows)) for i in range(3)}
+    service = Service({f"team-{n:04d}": n * 1.237 for n in range(count)}, {flow: n / 7 for flow, n in flows.items()})
+    return Allocation(123_456_789, 41, "n0", columns, service, 5, {flow: 1.8e9 + n for flow, n in flows.items()})
+
+
+def test_allocation_of_a_thousand_flows_is_stored_on_pages():
+    one = large_allocation(1000)
+    pages = encode_allocation(one, 4096)
+    assert all(len(msgspec.json.encode(page)) <= 4096 for page in pages)
+    read = decode_allocation(pages)
+    assert read.columns == one.columns and read.started == one.started and read.slot == one.slot
+    assert read.service.flows[Flow("team-0700", "class-700")] == 100.0
+    total = {node: column.total for node, column in one.columns.items()}
+    shorten(one)
+    assert len(encode_allocation(one, 4096)) < len(pages)
+    assert {node: column.total for node, column in one.columns.items()} == total  # nothing is lost of the sums
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda pages: pages[:-1],
+        lambda pages: [{**pages[0], "v": 2}, *pages[1:]],
+        lambda pages: ["text"],
+        lambda pages: [{**pages[0], "pages": "3"}, *pages[1:]],
+        lambda pages: [{**pages[0], "z": pages[0]["z"][:-4]}, *pages[1:]],
+        lambda pages: [{**pages[0], "z": "~~~~" + pages[0]["z"][4:]}, *pages[1:]],
+        lambda pages: [{**pages[0], "z": 5}, *pages[1:]],
+        lambda pages: encode_allocation(allocation(a_batch=-1), 4096),
+    ],
+)
+def test_unreadable_allocations(spoil):
+    pages = encode_allocation(large_allocation(300), 1024)
+    with pytest.raises(UnreadableAllocationError):
+        decode_allocation(spoil(pages))
+
+
+def test_jobs_are_counted_once_in_their_slot():
+    jobs = AdmittedJobs()
+    for job, slot in (("one", 4), ("two", 4), ("one", 4), ("three", 5)):
+        jobs.note(job, Flow("a", "batch"), slot)
+    assert (jobs.of(4), jobs.of(5), jobs.of(6)) == ({Flow("a", "batch"): 2}, {Flow("a", "batch"): 1}, {})
+
+
+def waiting(job, flow, submitted, obstacle=Obstacle.OTHERS):
+    return WaitingJob(job, Flow("a", flow), submitted, obstacle)
+
+
+@pytest.mark.parametrize(
+    ("jobs", "starts", "favoured"),
+    [
+        ([waiting("j", "low", 0.0)], [("high", 250.0)], ["j"]),
+        ([waiting("j", "low", 100.0)], [("high", 250.0)], []),  # not for long
+        ([waiting("j", "low", 0.0)], [], []),  # nobody is served
+        ([waiting("j", "low", 0.0)], [("low", 250.0)], []),  # it is served itself
+        ([waiting("j", "low", 0.0)], [("high", 150.0), ("low", 160.0), ("low", 170.0)], []),
+        ([waiting("j", "low", 0.0, Obstacle.NO_MACHINE)], [("high", 250.0)], []),
+        ([waiting("j", "low", 0.0, Obstacle.TEAM_LIMIT)], [("high", 250.0)], []),
+        ([waiting("j", "low", 0.0, Obstacle.FAILING), waiting("k", "low", 9.0)], [("high", 250.0)], ["k"]),
+        ([waiting("j", "low", 5.0), waiting("k", "other", 0.0)], [("high", 250.0)], ["k", "j"]),  # longest first
+    ],
+)
+def test_who_goes_first_after_a_long_wait(jobs, starts, favoured):
+    watch = StartWatch(200.0)
+    for flow, at in starts:
+        watch.note_start(Flow("a", flow), at)
+    waits = watch.look(jobs)
+    assert [wait.oldest for wait in watch.favoured(waits, 300.0, 5)] == favoured
+
+
+def test_last_starts_go_from_leader_to_leader():
+    watch = StartWatch(200.0)
+    watch.resume({Flow("a", "low"): 90.0})
+    watch.note_start(Flow("a", "high"), 250.0)
+    assert watch.favoured(watch.look([waiting("j", "low", 0.0)]), 280.0, 1) == []  # not anew, and not forgotten
+    assert [one.since for one in watch.favoured(watch.look([waiting("j", "low", 0.0)]), 291.0, 1)] == [90.0]
+
+
+def test_pace_follows_the_measured_delay():
+    pace = Pace(1.0)
+    for _ in range(20):
+        pace.measured(5.0)
+    assert pace.part == LEAST
+    pace.measured(1.5)
+    assert pace.part == LEAST  # neither late nor idle
+    for _ in range(30):
+        pace.measured(0.2)
+    assert pace.part == 1.0
--- /dev/null
+++ b/tests/test_admission_dispatch.py
@@ -0,0 +1,131 @@
+"""Dispatch: a class that stands low has a start in every window, under a flood of higher ones that never ends."""
+
+import asyncio
+
+import cbor2
+import msgspec
+import pytest
+
+from passrock.admission.core.starvation import StartWatch
+from passrock.admission.settings import AdmissionSettings
+from standins import virtual_loop
+from standins.flood import Flood, flood_world, longest_gap, note_starts, submit
+
+WINDOW_S = 240.0
+ADMISSION = AdmissionSettings(window_s=WINDOW_S)
+HIGH, LOW, LARGE = 100_000, 500_000, 600_000
+
+
+async def full_fleet(seed, for_s, admission=ADMISSION, **options):
+    """Two machines that can't be more, and production work for three times as many that never ends."""
+    world, checker = flood_world(seed, admission, machines=2, capacity=(0, 0), zones=("a",), **options)
+    starts = note_starts(world)
+    await asyncio.sleep(14.0)
+    high = Flood(world, checker, HIGH, shelfmark="high", precedence="prod", format="batch")
+    world.spawn(high.run(0.6, for_s, run_s=20.0))
+    await asyncio.sleep(30.0)
+    low = Flood(world, checker, LOW, shelfmark="low", precedence="low")
+    world.spawn(low.run(0.05, for_s - 30.0, run_s=5.0))
+    return world, checker, starts
+
+
+async def rare_starts(for_s, admission=ADMISSION):
+    world, checker, starts = await full_fleet(1, for_s, admission)
+    tiny = Flood(world, checker, 700_000, shelfmark="tiny", precedence="low", desk="t1")
+    world.spawn(tiny.run(0.5, for_s - 30.0))
+    large = world.job(LARGE, shelfmark="large", desk="t1", format="group", volumes=2, cards=2.0, precedence="low")
+    world.spawn(submit(world, checker, large, run_s=5.0))
+    begin = world.now()
+    await asyncio.sleep(for_s - 30.0)
+    return world, starts, begin
+
+
+def test_every_class_starts_in_every_window_for_an_hour():
+    """Production work fills the fleet without end; one gang takes the whole fleet, beside many tiny jobs."""
+    for_s = 3600.0
+    world, starts, begin = virtual_loop.run(rare_starts(for_s))
+    assert world.checker.broken == []
+    assert len(starts["high"]) > for_s / 20.0  # what goes first is little
+    assert longest_gap(starts["low"], begin, begin + for_s - 60.0) <= WINDOW_S
+    assert longest_gap(starts["tiny"], begin, begin + for_s - 60.0) <= WINDOW_S
+    assert starts["large"][0] - begin <= 2 * WINDOW_S  # its team has other work, and the whole fleet has to come free
+
+
+def test_without_dispatch_a_low_class_starves(monkeypatch):
+    """The check above fails where nobody goes first."""
+    monkeypatch.setattr(StartWatch, "favoured", lambda self, waits, now, most: [])
+    _, starts, begin = virtual_loop.run(rare_starts(700.0))
+    assert longest_gap(starts.get("tiny", []), begin, begin + 640.0) > WINDOW_S
+
+
+def test_a_new_leader_does_not_count_the_wait_anew():
+    """Leaders that change more often than a class may wait."""
+
+    async def main():
+        world, _, starts = await full_fleet(2, 1000.0)
+        begin = world.now()
+        for _ in range(20):
+            await asyncio.sleep(35.0)
+            await world.crash([await world.a_leader()], 2.0)
+        return world, longest_gap(starts["low"], begin, world.now())
+
+    world, gap = virtual_loop.run(main())
+    assert world.checker.broken == []
+    assert gap <= WINDOW_S
+
+
+@pytest.mark.parametrize(
+    ("fields", "obstacle"),
+    [
+        ({"branch": "b"}, "no_machine"),
+        ({"desk": "t1", "cards": 2.0, "volumes": 4, "format": "group"}, "team_limit"),
+    ],
+)
+def test_what_can_not_be_served_is_told_apart_from_what_starves(fields, obstacle):
+    async def main():
+        world, checker, _ = await full_fleet(3, 200.0, limit=4.0 if obstacle == "team_limit" else 8.0)
+        world.zones = ("a", "b")
+        world.cloud.types["box"]["branches"] = ["a", "b"]
+        if obstacle == "team_limit":
+            filler = world.job(LARGE + 1, desk="t1", precedence="prod", format="service", volumes=1)
+            world.spawn(submit(world, checker, filler, run_s=1e6))
+            fields.update(volumes=2)
+        await asyncio.sleep(20.0)
+        for sim in world.nodes.values():
+            sim.node.market.types = {
+                name: msgspec.structs.replace(kind, zones=("a", "b")) for name, kind in sim.node.market.types.items()
+            }
+        spec = world.job(LARGE, shelfmark="kept", precedence="low", **fields)
+        world.spawn(submit(world, checker, spec))
+        await asyncio.sleep(100.0)
+        leader = world.nodes[await world.a_leader()].node
+        outcomes = leader.admission._deciding is not None
+        waits = {wait.flow.job_class: wait for wait in leader.term.on_evaluated.__self__.waits}
+        return outcomes, waits["kept"].obstacle.value, leader.term.placer.favoured
+
+    outcomes, found, favoured = virtual_loop.run(main())
+    assert outcomes and found == obstacle
+    assert "wk-600000" not in favoured
+
+
+def test_a_team_that_is_taken_out_while_its_work_waits():
+    """Its jobs stay known and nothing more is started for them; the leader goes on with the others."""
+
+    async def main():
+        world, checker, starts = await full_fleet(4, 120.0)
+        kept = world.job(LARGE, shelfmark="kept", desk="t2", precedence="low")
+        assert await submit(world, checker, kept, run_s=5.0)
+        world.teams = 2  # in the settings of processes that start from now on
+        await world.crash(list(world.nodes), 1.0)
+        await asyncio.sleep(60.0)
+        before = len(starts["high"])
+        await asyncio.sleep(30.0)
+        status, answer = await world.ask("GET", f"/v2/runs/{kept['ref']}")
+        refused = world.job(LARGE + 1, shelfmark="kept", desk="t2")
+        world.specs[refused["ref"]] = refused
+        fresh, _ = await world.ask("POST", "/v2/runs", cbor2.dumps(refused))
+        return world, len(starts["high"]) - before, (status, answer["status"], fresh), starts.get("kept")
+
+    world, served, answers, kept = virtual_loop.run(main())
+    assert served > 0 and kept is None
+    assert answers == (200, "queued", 422)
--- /dev/null
+++ b/tests/test_admission_loopback.py
@@ -0,0 +1,49 @@
+"""Three controller processes with admission on, stand-ins on loopback, and a flood of batch work."""
+
+import asyncio
+
+from passrock.cli import main
+from standins.flood import OBJECTIVES, AdmissionChecker, Flood, note_starts
+from standins.loopback import ROOT, LoopbackWorld
+
+PATIENCE_S = 90.0  # far above what it takes; only a failure comes near it
+BATCH, LOOK = 100_000, 900_000
+
+
+async def flooded(folder):
+    world = LoopbackWorld(6, zones=("a",), machines=4, objectives=OBJECTIVES)
+    world.operator = [folder / "admission.hcl"]
+    text = (ROOT / "deploy" / "admission.hcl").read_text().replace('log_dir = ""', f'log_dir = "{folder / "log"}"')
+    world.operator[0].write_text(text.replace("slot_ratio = 4.0", "slot_ratio = 2.0"))
+    checker, starts = AdmissionChecker(world), note_starts(world)
+    await world.serve(folder)
+    for name in world.nodes:
+        await world.start(name)
+    try:
+        async with asyncio.timeout(PATIENCE_S):
+            while not checker.pages:
+                await asyncio.sleep(0.2)
+            batch = Flood(world, checker, BATCH, shelfmark="batch", precedence="low")
+            look = Flood(world, checker, LOOK, shelfmark="look", precedence="prod")
+            flood = world.spawn(batch.run(150.0, 12.0, run_s=0.5))
+            await look.run(2.0, 12.0, run_s=0.5)
+            await flood
+            while any(job.startswith("wk-9") and job not in checker.got_in for job in checker.first_asked):
+                await asyncio.sleep(0.2)
+            while "look" not in starts or "batch" not in starts:
+                await asyncio.sleep(0.2)
+    finally:
+        for name in world.processes:
+            await world.kill(name)
+    return world, checker
+
+
+def test_a_flood_over_three_processes(tmp_path, capsys):
+    world, checker = asyncio.run(flooded(tmp_path))
+    assert checker.verify() == [] and world.checker.broken == []
+    assert checker.unmarked == 0  # every job was admitted by a grant
+    assert len({life for _, life in checker.admitted}) == 3  # at each controller
+    asked = sum(job.startswith("wk-1") for job in checker.first_asked)
+    assert 0 < sum(job.startswith("wk-1") for job in checker.accepted_at) < asked  # more than could be taken
+    main(["admission", "report", str(tmp_path / "log")])  # the processes were killed: what they had written is whole
+    capsys.readouterr()
