--- a/src/passrock/controller/submissions.py
+++ b/src/passrock/controller/submissions.py
@@ -39,6 +39,12 @@
                 future.set_exception(problem)
 
 
+def _take_notice(task: asyncio.Task[None]) -> None:
+    """What ended the task was told to everybody who waits; nothing is left to be logged."""
+    if not task.cancelled():
+        task.exception()
+
+
 class Submitter:
     """Accepts jobs, several in one transaction when many come at once."""
 
@@ -55,7 +61,7 @@
         if not self.busy:
             self.busy = True
             task = asyncio.ensure_future(self._drain())
-            task.add_done_callback(lambda done: done.exception())
+            task.add_done_callback(_take_notice)
         return await future
 
     async def _drain(self) -> None:
--- a/tests/test_admission_slots.py
+++ b/tests/test_admission_slots.py
@@ -6,6 +6,7 @@
 import pytest
 
 from passrock.admission.controller.allocator import SlotAllocator
+from passrock.admission.core.flows import Weights
 from passrock.admission.core.grants import Grants
 from passrock.admission.core.slots import SlotClock
 from passrock.admission.settings import AdmissionSettings
@@ -405,6 +406,31 @@
         return self.seen
 
 
+async def overloaded(seed, admission):
+    world, checker = flood_world(seed, admission=admission)
+    await asyncio.sleep(WARM_S)
+    flood(world, checker)
+    await asyncio.sleep(75.0)
+    return checker
+
+
+def no_class_is_interactive(monkeypatch):
+    monkeypatch.setattr(Weights, "any_interactive", property(lambda self: False))
+    monkeypatch.setattr(Weights, "is_interactive", lambda self, flow: False)
+
+
+@pytest.mark.parametrize(
+    ("admission", "unsafe", "inside"),
+    [(ADMISSION, None, True), (None, None, False), (ADMISSION, no_class_is_interactive, False)],
+)
+def test_interactive_work_is_admitted_within_the_bound(admission, unsafe, inside, monkeypatch):
+    """And the check fails with admission off, and where nothing is reserved."""
+    if unsafe is not None:
+        unsafe(monkeypatch)
+    checker = virtual_loop.run(overloaded(12, admission))
+    assert (max(checker.waits("wk-9")) <= BOUND_S) == inside
+
+
 def test_settings_that_reserve_nothing_still_admit():
     async def main():
         bare = AdmissionSettings(interactive_share=0.0, burst_share=0.0, interactive_most=0.0)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -12,6 +12,9 @@
     "core": ("asyncio", "socket", "time", "passrock.io", "passrock.controller", "passrock.wire"),
     "wire": ("asyncio", "socket", "time", "passrock.io", "passrock.controller"),
     "io": ("passrock.controller",),
+    "admission/core": ("asyncio", "socket", "time", "passrock.io", "passrock.controller", "passrock.wire"),
+    "admission/wire": ("asyncio", "socket", "time", "passrock.io", "passrock.controller"),
+    "admission/io": ("passrock.controller",),
 }
 # field names of the interfaces that are no words of this project
 WIRE_NAMES = (
@@ -51,3 +54,15 @@
 def test_interface_names_stand_in_wire_only(name):
     found = {path.parent.name for path in SOURCES.rglob("*.py") if re.search(rf"\b{name}\b", path.read_text())}
     assert found == {"wire"}
+
+
+def test_subsystems_are_loaded_only_where_they_are_switched_on():
+    """What the rest of the service imports of them stands in functions, or is for the type checker alone."""
+    found = []
+    for path in SOURCES.rglob("*.py"):
+        if "admission" in path.parts:
+            continue
+        for node in ast.parse(path.read_text()).body:
+            if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("passrock.admission"):
+                found.append((path.name, node.module))
+    assert found == []
