--- a/review/harness.py
+++ b/review/harness.py
@@ -6,9 +6,12 @@
 """
 
 import asyncio
+import contextlib
 import os
+import random
 import shlex
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -42,6 +45,17 @@
 LOGGED_EVENTS = ("leadership_", "leader_term_ready", "machine_", "machines_", "worker_lease", "job_finalized")
 
 
+def free_port():
+    """Return a free port outside the range that connections use: a controller needs it again when it restarts."""
+    while True:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", random.randrange(20_000, 32_000)))
+            except OSError:
+                continue
+            return probe.getsockname()[1]
+
+
 class CouldNotRunError(Exception):
     """The situation that the case needs did not come about."""
 
@@ -143,6 +157,7 @@
         self._record_checker()
         self.store.txn_ops, self.store.value_bytes = STATE["txn_ops"], int(STATE["value_kb"] * 1024)
         self.cloud.__class__ = Cloud
+        self.cloud.addr = f"127.0.0.1:{free_port()}"  # of every worker; no controller connects to it
         self.cloud.machine_types["box"].update(MACHINE)
         for zone in machine_zones:
             self.cloud.add_machine("box", zone, False, boot_s=0.1)
@@ -151,11 +166,11 @@
 
     async def serve_all(self):
         """Serve the stand-ins and write the settings file of each controller."""
-        peer_ports = {name: loopback_cluster.free_port() for name in self.nodes}
+        peer_ports = {name: free_port() for name in self.nodes}
         for number, name in enumerate(self.nodes):
             table = platform_settings(number, self.node_count, self.zones, self.teams, self.guarantee, self.limits)
             table["deployment"].update(state=STATE, cloud=CLOUD, resources=RESOURCES)
-            port = loopback_cluster.free_port()
+            port = free_port()
             table["client_listen"] = f"127.0.0.1:{port}"
             table["peer_listen"] = f"127.0.0.1:{peer_ports[name]}"
             for peer in table["peers"]:
@@ -223,9 +238,14 @@
 
     async def kill(self, name="n0"):
         """Kill a controller as the platform does."""
-        if self.processes[name].returncode is None:
-            await super().kill(name)
+        process = self.processes[name]
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):  # it has ended by itself
+                process.kill()
+            await process.wait()
             self.record(f"process  {name} killed")
+        else:
+            self.record(f"process  {name} had ended with exit code {process.returncode}")
 
     async def stop(self):
         """End all processes, and copy what they logged of their decisions to the record."""
