--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,110 +1,140 @@
-"""A gang that finds too few machines has all others kept empty for itself, and every other job waits."""
+"""A controller that has just been restarted calls a job running or queued that its user was told is cancelled."""
 
 import asyncio
 
 from standins import Cluster, NotRunError, call, main, now
 
-ZONE = "leicester-dc"
-MACHINES = 4
-WAIT_LIMIT_S = 90.0
+MACHINES, JOBS = 25, 300
+BURSTS, JOBS_PER_BURST, BURST_EVERY_S, BURST_S = 10, 30, 8.0, 0.2  # users call off 30 jobs within a fifth of a second
+RESTART_AFTER_S = 0.7  # after the begin of a burst; the two nodes that don't lead, by turns
+ASK_EVERY_S, ASK_FOR_S = 0.03, 3.0
+START_LIMIT_S = 28.0
+
+
+class LoadBalancer:
+    """The load balancer's probes: which nodes it considers healthy."""
+
+    def __init__(self, cluster):
+        self.cluster = cluster
+        self.healthy = dict.fromkeys(cluster.names, True)
+
+    async def probe(self, name):
+        failures, in_a_row, successes, pause_s, removed_at = [], 0, 0, 3.0, -1e9
+        while True:
+            started_at = now()
+            status, _ = await call(self.cluster.ports[name], "GET", "/up", timeout=1.0)
+            failed = status != 200
+            failures = [*failures[-5:], failed]
+            in_a_row, successes = (in_a_row + 1, 0) if failed else (0, successes + 1)
+            if self.healthy[name] and (in_a_row >= 2 or sum(failures) >= 3):
+                pause_s = min(60.0, pause_s * 2) if now() - removed_at < 120.0 else 3.0
+                self.healthy[name], removed_at, successes, failures = False, now(), 0, []
+                self.cluster.record("load balancer:", name, "is unhealthy")
+            elif not self.healthy[name] and successes >= 2 and now() - removed_at >= pause_s:
+                self.healthy[name], failures = True, []
+                self.cluster.record("load balancer:", name, "is healthy again")
+            await asyncio.sleep(max(0.05, 1.0 - (now() - started_at)))
 
 
 async def case(folder, record, trouble):
     cluster = Cluster(
         folder,
         record,
-        zones=[ZONE],
-        node_zones=[ZONE] * 3,
+        zones=["city-hall-dc"],
+        node_zones=["city-hall-dc"] * 3,
         teams=[
-            {"name": f"membership-ops-{n:02d}", "cpus": 0.0, "cpus_max": 0.0, "gpus": 6.0, "gpus_max": 18.0}
-            for n in range(10)
+            {"name": f"catalogue-unit-{n:02d}", "cpus": 0.0, "cpus_max": 0.0, "gpus": 12.0, "gpus_max": 36.0}
+            for n in range(12)
         ],
-        workers={"report_s": 1.0, "lease_s": 11.0, "gang_wait_s": 30.0, "gang_peer_s": 6.0, "cancel_s": 31.0},
-        state={"rps": 60.0, "write_rps": 15.0, "value_kb": 4.0, "txn_ops": 12},
-        cloud={"rps": 6.0, "list_lag_s": 4.0},
+        workers={"report_s": 1.5, "lease_s": 14.0, "gang_wait_s": 30.0, "gang_peer_s": 6.0, "cancel_s": 44.0},
+        state={"rps": 200.0, "write_rps": 80.0, "value_kb": 16.0, "txn_ops": 24},
+        cloud={"rps": 5.0, "list_lag_s": 6.0},
         machine_type={
-            "sku": "turnstile-box", "cores": 12.0, "cards": 2.0, "ramGb": 72.0, "localGb": 120.0, "fetchGbPerS": 2.0,
-            "price": 5.93, "spotPrice": 2.1, "bootS": 60.0, "branches": [ZONE],
+            "sku": "stack-node", "cores": 16.0, "cards": 2.0, "ramGb": 64.0, "localGb": 100.0, "fetchGbPerS": 1.0,
+            "price": 5.66, "spotPrice": 1.19, "bootS": 25.0, "branches": ["city-hall-dc"],
         },
-        seed=None,
+        seed=1,
+        slow_share=0.05,
     )  # fmt: skip
-    violations, started = [], set()  # started: jobs of which a task has its image
-
-    def on_start(worker, task):
-        record("task", *task.key, "has its image on", worker.name)
-        started.add(task.key[0])
-
-    cluster.on_start = on_start
-    cluster.on_end = lambda worker, task, why, detail: record("task", *task.key, "ended on", worker.name, why, detail)
-
-    def machines_with_room(spec):
-        """Return the machines whose worker reports and that have room for a task."""
-        names = []
-        for name, worker in cluster.workers.items():
-            tasks = [task for task in worker.tasks.values() if task.status != "exited"]
-            if all(
-                sum(task.spec[field] for task in tasks) + spec[field] <= cluster.cloud.type[field] + 1e-6
-                for field in ("cores", "cards", "ramGb")
-            ):
-                names.append(name)
-        return names
-
+    violations = []
+    answers = {}
     await cluster.serve()
     for _ in range(MACHINES):
-        cluster.cloud.add(ZONE, False, 0.1)
+        cluster.cloud.add("city-hall-dc", False, 0.1)
     try:
         for name in cluster.names:
             await cluster.start(name)
-        await cluster.wait_ready()
-        await asyncio.sleep(2.0)  # all workers have reported to the leader
-        if trouble:
-            name = next(iter(cluster.workers))
-            record(name, "stops with all that is on it")
-            cluster.machine_gone(name)
-            asyncio.get_running_loop().call_later(
-                30.0, lambda: name in cluster.cloud.machines and cluster.cloud.machines[name].update(status="failed")
-            )
-
-        await asyncio.sleep(4.0)
-
-        async def submit(number, **fields):
-            spec = cluster.job(number, **fields)
-            status, answer = await cluster.submit(spec)
-            record(spec["ref"], spec["shelfmark"], "submitted:", status, answer)
-            if status != 201:
-                raise NotRunError("a job was not accepted")
-            return spec
-
-        await submit(
-            1, shelfmark="fraud-train", desk="membership-ops-01", format="group", precedence="high", volumes=MACHINES,
-            cores=6.0, cards=2.0, ramGb=30.0, edition="img-fraud", imageGb=6.0, samePlace=True, bookmarkS=30.0, shelveS=4.0,
-        )  # fmt: skip
-        await asyncio.sleep(1.0)
-        churn = await submit(
-            2, shelfmark="churn-score", desk="membership-ops-02", precedence="standard", volumes=2, cores=2.0,
-            ramGb=10.0, edition="img-churn", imageGb=5.0, loaners=True, bookmarkS=15.0, shelveS=2.0,
-        )  # fmt: skip
-        accepted_at, lookup = now(), None
-        last_full_at = accepted_at  # when no machine had room, or the trouble was not over
-        while now() - accepted_at < WAIT_LIMIT_S + 15.0 and churn["ref"] not in started:
-            if not machines_with_room(churn) or (trouble and name in cluster.cloud.machines):
-                last_full_at = now()
-            if lookup is None and now() - accepted_at > WAIT_LIMIT_S - 12.0:
-                lookup = await submit(
-                    3, shelfmark="member-lookup", desk="membership-ops-03", format="service", precedence="prod",
-                    cores=4.0, cards=0.0, ramGb=22.0, edition="img-lookup", imageGb=4.0, loanS=0.0,
-                )  # fmt: skip
-            if now() - last_full_at > WAIT_LIMIT_S:
-                violations.append(
-                    f"{churn['ref']} has waited for {now() - accepted_at:.1f} s, {now() - last_full_at:.1f} s of them since the "
-                    f"stopped machine was deleted; all the time at least one machine had room for it, now "
-                    f"{machines_with_room(churn)}, and its team uses nothing"
-                )
-                break
-            await asyncio.sleep(0.5)
-        for ref in cluster.specs:
-            status, body = await call(cluster.ports["stacker-0"], "GET", f"/v2/runs/{ref}")
-            record(ref, status, body, "machines with room for it:", machines_with_room(cluster.specs[ref]))
+        leader = await cluster.wait_ready()
+        started_at = now()
+        running = set()
+        cluster.on_start = lambda worker, task: running.add(task.key[0])
+        cluster.on_end = lambda worker, task, why, detail: running.discard(task.key[0])
+        specs = [
+            cluster.job(n, desk=f"catalogue-unit-{n % 12:02d}", precedence="low", cores=1.0, ramGb=3.2)
+            for n in range(JOBS)
+        ]
+        balancer = LoadBalancer(cluster)
+        for name in cluster.names:
+            cluster.spawn(balancer.probe(name))
+
+        async def submit_some(some):
+            for spec in some:
+                await cluster.submit(spec)
+
+        await asyncio.gather(*(submit_some(specs[n::20]) for n in range(20)))
+        record("accepted", JOBS, "jobs")
+        while len(running) < JOBS * 0.9 and now() - started_at < START_LIMIT_S:
+            await asyncio.sleep(0.2)
+        record("tasks that run:", len(running))
+        if len(running) < JOBS * 0.5:
+            raise NotRunError("too few tasks run")
+        leader = cluster.leader()
+        others = [name for name in cluster.names if name != leader]
+        record("the leader is", leader)
+
+        async def ask(job, told_at, node):
+            """Ask one node through the load balancer, again and again."""
+            while now() - told_at < ASK_FOR_S:
+                if balancer.healthy[node]:
+                    asked_at = now()
+                    status, body = await call(cluster.ports[node], "GET", f"/v2/runs/{job}", timeout=2.0)
+                    answer = body.get("status", status)
+                    answers[answer] = answers.get(answer, 0) + 1
+                    if (status == 200 and answer != "cancelled") or status == 404:
+                        text = (
+                            f"{job}: told cancelled at {told_at - record.started_at:.3f}, asked {node} at "
+                            f"{asked_at - record.started_at:.3f}: {status} {body}"
+                        )
+                        record(text)
+                        violations.append(text)
+                await asyncio.sleep(ASK_EVERY_S)
+
+        async def cancel(spec, delay_s, node):
+            job = spec["ref"]
+            await asyncio.sleep(delay_s)
+            for _ in range(10):
+                status, body = await call(cluster.ports[leader], "POST", f"/v2/runs/{job}/withdraw", timeout=5.0)
+                if status == 200 and body["status"] == "cancelled":
+                    record(job, "cancelled, answered by", leader)
+                    await ask(job, now(), node)
+                    return
+                await asyncio.sleep(1.0)
+
+        for burst in range(BURSTS):
+            began_at = now()
+            node = others[burst % 2]
+            some = specs[burst * JOBS_PER_BURST : (burst + 1) * JOBS_PER_BURST]
+            for number, spec in enumerate(some):
+                cluster.spawn(cancel(spec, BURST_S * number / len(some), node))
+            await asyncio.sleep(RESTART_AFTER_S)
+            if trouble:
+                await cluster.kill(node)
+                await cluster.start(node)
+                record(node, "killed and started again")
+            await asyncio.sleep(began_at + BURST_EVERY_S - now())
+        record("answers:", answers)
+        for line in cluster.log_lines(["replica_loaded", "leadership_"]):
+            record(line)
     finally:
         await cluster.kill_all()
     return violations
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -515,6 +515,9 @@
     def _fetched(self, task):
         self.images.add(task.spec["edition"])
         self.cluster.on_start(self, task)
+        if task.key[:2] in self.cluster.completed:  # the result is kept
+            self._exit(task, "done")
+            return
         if task.spec["format"] != "group":
             self.run(task)
             return
@@ -540,6 +543,7 @@
             if {member.key[1] for _, member in members if member.status == "running"} != set(range(task.spec["volumes"])):
                 return  # a task is gone: the others will notice
         for worker, member in members:
+            self.cluster.completed.add(member.key[:2])
             worker._exit(member, "done")
 
     def _exit(self, task, why, kept=False, detail=""):
@@ -585,6 +589,7 @@
         self.store = Store(state, self.rng, slow_share)
         self.cloud = Cloud(self, machine_type, cloud["list_lag_s"])
         self.specs, self.run_s, self.workers = {}, {}, {}
+        self.completed = set()  # (job, index) of the tasks that ran to their end
         self.processes, self.configs, self.ports = {}, {}, {}
         self.background = set()
         self.on_start = lambda worker, task: None
