--- a/src/passrock/core/gang_placement.py
+++ b/src/passrock/core/gang_placement.py
@@ -11,26 +11,11 @@
 from passrock.core.machine import Machine
 from passrock.core.machine_holds import MachineHolds
 from passrock.core.machine_scoring import MachineScorer
-from passrock.core.model import JobSpec, Resources
+from passrock.core.placement_shapes import GangShape
 from passrock.core.quota import TeamQuotas
 from passrock.core.starvation_holds import StarvationHolds
 
 
-class GangShape(NamedTuple):
-    """The properties of a gang that decide, together with its number of tasks, where it fits."""
-
-    resources: Resources
-    machine_types: tuple[str, ...] | None
-    zone: str | None
-    allows_spot: bool
-    single_zone: bool
-
-    @classmethod
-    def of(cls, spec: JobSpec) -> GangShape:
-        """Return the shape of a gang."""
-        return cls(spec.resources, spec.machine_types, spec.zone, spec.allows_spot, spec.single_zone)
-
-
 class GangOption(NamedTuple):
     """Machines for all tasks of a gang, in the order of its tasks, and the cost of placing it there."""
 
--- a/src/passrock/core/machine_scoring.py
+++ b/src/passrock/core/machine_scoring.py
@@ -9,7 +9,7 @@
 from passrock.core.job_table import JobTable
 from passrock.core.machine import Machine
 from passrock.core.machine_holds import MachineHolds
-from passrock.core.model import JobKind, JobSpec
+from passrock.core.model import JobKind
 from passrock.core.objectives import ServiceLevelObjectives
 
 # Costs are in seconds, so that they can be compared with the time to fetch an image.
@@ -69,7 +69,7 @@
         instances waited although spot instances were free.
         """
         spec = job.spec
-        prefers_spot = may_wait_for_spot(spec)
+        prefers_spot = spec.may_wait_for_spot
         spot_only = {
             name: prefers_spot and not self.objectives.too_urgent_for_spot(job, machine_type, now)
             for name, machine_type in self.capacity.machine_types.items()
@@ -94,8 +94,3 @@
         """Put a machine back on the heap after a task was placed on it, if another task of the job fits."""
         if job.spec.resources.fits(self.capacity.free_on(machine)):
             heappush(heap, (self.cost(job, machine), machine.name, machine))
-
-
-def may_wait_for_spot(spec: JobSpec) -> bool:
-    """Whether a job's tasks may individually wait for spot instances, as far as its objectives allow."""
-    return spec.allows_spot and spec.kind is JobKind.ARRAY
--- a/src/passrock/core/model.py
+++ b/src/passrock/core/model.py
@@ -173,6 +173,11 @@
             and (self.allows_spot or not spot)
         )
 
+    @property
+    def may_wait_for_spot(self) -> bool:
+        """Whether the job's tasks may individually wait for spot instances, as far as its objectives allow."""
+        return self.allows_spot and self.kind is JobKind.ARRAY
+
     def max_tasks_per_zone(self) -> int:
         """Return how many tasks may be in the same zone: half of them, rounded up, if they have to be spread."""
         return (self.task_count + 1) // 2 if self.spread_zones else self.task_count
--- a/src/passrock/core/task_placement.py
+++ b/src/passrock/core/task_placement.py
@@ -3,35 +3,19 @@
 from __future__ import annotations
 
 from heapq import heappop
-from typing import NamedTuple
 
 from passrock.core.free_capacity import FreeCapacity
 from passrock.core.job import Job, TaskAttempt
 from passrock.core.job_table import JobTable
 from passrock.core.machine_holds import MachineHolds
-from passrock.core.machine_scoring import Candidate, MachineScorer, may_wait_for_spot
-from passrock.core.model import JobKind, JobSpec, Resources
+from passrock.core.machine_scoring import Candidate, MachineScorer
+from passrock.core.placement_shapes import TaskShape
 from passrock.core.quota import TeamQuotas
 from passrock.core.zone_constraint import ZoneConstraint
 
 MAX_TASKS_PER_PASS = 64  # for each job, which limits the duration of a pass; the next pass follows at once
 
 
-class TaskShape(NamedTuple):
-    """The properties that decide where a task fits: if a task is unschedulable, so are all tasks of its shape."""
-
-    resources: Resources
-    machine_types: tuple[str, ...] | None
-    zone: str | None
-    allows_spot: bool
-    kind: JobKind
-
-    @classmethod
-    def of(cls, spec: JobSpec) -> TaskShape:
-        """Return the shape of a job's tasks."""
-        return cls(spec.resources, spec.machine_types, spec.zone, spec.allows_spot, spec.kind)
-
-
 class TaskPlacement:
     """Places as many of a job's waiting tasks as fit.
 
@@ -71,7 +55,7 @@
             return []
         # Jobs limited by the zones of their attempts, or waiting for spot instances, may not fit where other jobs of
         # their shape do.
-        represents_shape = not zones.counts and not may_wait_for_spot(spec)
+        represents_shape = not zones.counts and not spec.may_wait_for_spot
         heap = self.scorer.candidate_heap(job, zones.required_zone, now)
         if not heap:
             if represents_shape:
