--- a/src/passrock/controller/leader_term.py
+++ b/src/passrock/controller/leader_term.py
@@ -84,7 +84,7 @@
     def _build_scheduler(self, settings: Settings) -> None:
         operator = settings.operator
         starvation_threshold_s = operator.begin_within_s * operator.keep_room_ratio
-        objectives = ServiceLevelObjectives(settings.objectives, starvation_threshold_s)
+        objectives = ServiceLevelObjectives(settings.objectives, starvation_threshold_s, operator.begin_within_s)
         self.scheduler = Scheduler(self.job_table, self.inventory, settings.teams, self.assignments, objectives)
         self.preemption = Preemption(self.scheduler)
 
--- a/src/passrock/core/capacity_forecast.py
+++ b/src/passrock/core/capacity_forecast.py
@@ -45,6 +45,8 @@
         return seconds
 
     def _estimate(self, machine: Machine, resources: Resources, now: float) -> float:
+        if not machine.heartbeat_received:
+            return self._seconds_until_booted(machine, now)
         free = self.capacity.free_on(machine)
         if resources.fits(free):
             return 0.0
@@ -56,6 +58,10 @@
                 return seconds_left
         return OPEN_ENDED_RUN_S
 
+    def _seconds_until_booted(self, machine: Machine, now: float) -> float:
+        """Return the estimated seconds until a booting machine is schedulable."""
+        return max(machine.requested_at + machine.type.boot_s - now, self.stop_latency_s)
+
     def _seconds_left(self, attempt: TaskAttempt, now: float) -> float:
         """Return the estimated seconds until the attempt ends, which are no fewer than stopping it would take."""
         spec = attempt.job.spec
--- a/src/passrock/core/free_capacity.py
+++ b/src/passrock/core/free_capacity.py
@@ -26,11 +26,13 @@
         self.zones: dict[str, None] = {}
         self.machine_types: dict[str, MachineType] = {}
         self._free: dict[str, Resources] = {}
+        self._booting: list[Machine] | None = None  # determined on first use in a pass
 
     def begin_pass(self, now: float) -> None:
         """Clear the allocations of the last pass and find the machines that are schedulable now."""
         self._free = {}
         self.schedulable = []
+        self._booting = None
         self.with_capacity = []
         self.zones = {}
         self.machine_types = {}
@@ -45,6 +47,13 @@
         least = smallest_request(waiting)
         self.with_capacity = [machine for machine in self.schedulable if machine.has_capacity_for(least)]
 
+    def booting(self, now: float) -> list[Machine]:
+        """Return the machines that are expected to be schedulable soon."""
+        if self._booting is None:
+            health = self.inventory.health
+            self._booting = [m for m in self.inventory.machines.values() if health.is_booting(m, now)]
+        return self._booting
+
     def free_on(self, machine: Machine) -> Resources:
         """Return the resources that are free on the machine."""
         free = self._free.get(machine.name)
--- a/src/passrock/core/machine_health.py
+++ b/src/passrock/core/machine_health.py
@@ -6,6 +6,8 @@
 
 # Allowed between the lengths of a lease by two clocks, each of which may be up to 0.05 % fast or slow.
 CLOCK_DRIFT_RATIO = 1.002
+# Of a type's usual boot time. Most machines have booted by then, and nothing is planned with the others.
+USUAL_BOOT_RATIO = 1.5
 # Of a type's usual boot time. Slow machines take several times as long; beyond this a boot counts as failed.
 BOOT_TIMEOUT_RATIO = 3.0
 # A new leader doesn't infer a failed boot from a machine's age before it has led for this many leases.
@@ -85,6 +87,14 @@
         """
         return self.lease_s + machine.type.boot_s
 
+    def is_booting(self, machine: Machine, now: float) -> bool:
+        """Whether a machine is expected to send its first heartbeat soon; a few machines never do."""
+        return (
+            not machine.heartbeat_received
+            and not machine.deleting
+            and now - machine.requested_at <= USUAL_BOOT_RATIO * machine.type.boot_s
+        )
+
     def boot_timed_out(self, machine: Machine, now: float) -> bool:
         """Whether a machine should have sent its first heartbeat by now.
 
--- a/src/passrock/core/machine_scoring.py
+++ b/src/passrock/core/machine_scoring.py
@@ -10,7 +10,7 @@
 from passrock.core.machine import Machine
 from passrock.core.machine_holds import MachineHolds
 from passrock.core.model import JobKind
-from passrock.core.objectives import ServiceLevelObjectives
+from passrock.core.objectives import RUN_TIME_MARGIN_RATIO, ServiceLevelObjectives
 
 # Costs are in seconds, so that they can be compared with the time to fetch an image.
 FREE_SHARE_COST_S = 15.0  # times the share of the machine that stays free, for bin packing
@@ -81,9 +81,18 @@
             and spec.allows(machine.type.name, machine.zone, spot=machine.spot)
             and (zone is None or machine.zone == zone)
             and (machine.spot or not spot_only[machine.type.name])
-            and self.holds.allows(job, machine)
+            and not self._is_withheld(job, machine, now)
         ]
 
+    def _is_withheld(self, job: Job, machine: Machine, now: float) -> bool:
+        """Whether the machine is held for another job, which is expected to need it before a task would end."""
+        if self.holds.allows(job, machine):
+            return False
+        if job.spec.kind is JobKind.SERVICE:
+            return True
+        run_s = machine.image_fetch_time_s(job.spec) + job.spec.estimated_run_s * RUN_TIME_MARGIN_RATIO
+        return not self.holds.allows_until(now + run_s, job, machine)
+
     def candidate_heap(self, job: Job, zone: str | None, now: float) -> list[Candidate]:
         """Return the candidates as a heap by cost; placing a task changes only the cost of the task's machine."""
         heap = [(self.cost(job, machine), machine.name, machine) for machine in self.candidates(job, zone, now)]
--- a/src/passrock/core/objectives.py
+++ b/src/passrock/core/objectives.py
@@ -34,13 +34,21 @@
 class ServiceLevelObjectives:
     """The objectives of the platform by job class.
 
+    Attributes:
+        starvation_threshold_s: the wait after which a job without attempts is starving.
+        hold_horizon_s: machines are held for a starving job if it is expected to start within this time.
+
     Args:
         objectives: all objectives of the platform.
-        starvation_threshold_s: the wait after which a job without attempts is starving.
+        starvation_threshold_s: see above.
+        begin_within_s: the wait within which every job is expected to start.
     """
 
-    def __init__(self, objectives: tuple[Objective, ...], starvation_threshold_s: float) -> None:
+    def __init__(
+        self, objectives: tuple[Objective, ...], starvation_threshold_s: float, begin_within_s: float
+    ) -> None:
         self.starvation_threshold_s = starvation_threshold_s
+        self.hold_horizon_s = begin_within_s - starvation_threshold_s
         self._start_limits: dict[str, list[float]] = {}
         self._finish_limits: dict[str, list[float]] = {}
         self._guarantee_limits = sorted(
--- a/src/passrock/core/task_placement.py
+++ b/src/passrock/core/task_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from heapq import heappop
 
 from passrock.core.free_capacity import FreeCapacity
@@ -37,18 +38,20 @@
         self.holds = holds
         self.scorer = scorer
         self.truncated = False
-        self._unschedulable_shapes: set[TaskShape] = set()
+        # by shape, the shortest estimated run time that didn't fit: held machines take tasks that end in time
+        self._unschedulable_shapes: dict[TaskShape, float] = {}
 
     def begin_pass(self) -> None:
         """Clear the results of the last pass."""
         self.truncated = False
-        self._unschedulable_shapes = set()
+        self._unschedulable_shapes = {}
 
     def place(self, job: Job, now: float, *, max_tasks: int = MAX_TASKS_PER_PASS) -> list[TaskAttempt]:
         """Start up to ``max_tasks`` of the job's tasks and return their attempts."""
         spec = job.spec
         shape = TaskShape.of(spec)
-        if shape in self._unschedulable_shapes and not self.holds.exist_for(job):
+        is_unschedulable = spec.estimated_run_s >= self._unschedulable_shapes.get(shape, math.inf)
+        if is_unschedulable and not self.holds.exist_for(job):
             return []
         zones = ZoneConstraint.of(job, self.capacity.inventory)
         if zones.has_unknown_zone or not self.quotas.allows(job, 1):
@@ -59,7 +62,7 @@
         heap = self.scorer.candidate_heap(job, zones.required_zone, now)
         if not heap:
             if represents_shape:
-                self._unschedulable_shapes.add(shape)
+                self._unschedulable_shapes[shape] = spec.estimated_run_s
             return []
         started: list[TaskAttempt] = []
         for index in job.next_waiting_indexes(max_tasks):
@@ -70,7 +73,7 @@
             _drop_forbidden_zones(heap, zones)
             if not heap:
                 if represents_shape and not zones.counts:
-                    self._unschedulable_shapes.add(shape)
+                    self._unschedulable_shapes[shape] = spec.estimated_run_s
                 break
             started.append(self._start_on_cheapest(job, index, heap, zones, now))
         self.truncated = self.truncated or len(started) == MAX_TASKS_PER_PASS
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -20,6 +20,7 @@
         Objective("wait", "now", 6.0, 0.9),
     ),
     starvation_threshold_s=50.0,
+    begin_within_s=170.0,
 )
 TERM = 5
 
@@ -51,9 +52,9 @@
 class SchedulerHarness:
     """A job table, an inventory and a scheduler, without a controller."""
 
-    def __init__(self, machines=(("m1", "a", False),), page_size=50, teams=TEAMS):
+    def __init__(self, machines=(("m1", "a", False),), page_size=50, teams=TEAMS, term_began_at=0.0):
         self.job_table = JobTable(page_size)
-        self.inventory = MachineInventory(MachineHealth(1.0, 10.0, 0.36, 0.0), TERM)
+        self.inventory = MachineInventory(MachineHealth(1.0, 10.0, 0.36, term_began_at), TERM)
         self.scheduler = Scheduler(self.job_table, self.inventory, teams, {}, OBJECTIVES)
         self.preemption = Preemption(self.scheduler)
         self.revision = 0
@@ -79,6 +80,15 @@
         for machine in self.inventory.machines.values():
             machine.last_heartbeat_at, machine.used = now, ZERO_RESOURCES
 
+    def advance(self, now):
+        """Let every machine send a heartbeat at ``now``; tasks are running from their placement on."""
+        for machine in self.inventory.machines.values():
+            if machine.heartbeat_received:
+                machine.last_heartbeat_at = now
+            self.job_table.recompute_usage(machine, now)
+            for attempt in self.job_table.attempts_on(machine.name):
+                attempt.running_since = attempt.placed_at
+
     def run(self, now=0.0):
         return [(attempt.job.spec.id, attempt.index, attempt.machine) for attempt in self.scheduler.run(now)]
 
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -184,6 +184,7 @@
             Objective("guarantee", "", 20.0, 0.9),
         ),
         starvation_threshold_s=50.0,
+        begin_within_s=170.0,
     )
     job = SchedulerHarness().job(job_class=job_class)
     assert objectives.latest_start(job, now, guaranteed=guaranteed) == latest_start
