--- a/src/passrock/core/gang_placement.py
+++ b/src/passrock/core/gang_placement.py
@@ -52,7 +52,8 @@
         spec = job.spec
         shape = GangShape.of(spec)
         unschedulable_size = self._unschedulable_shapes.get(shape)
-        if unschedulable_size is not None and spec.task_count >= unschedulable_size and not self.holds.exist_for(job):
+        is_unschedulable = unschedulable_size is not None and spec.task_count >= unschedulable_size
+        if is_unschedulable and not self.scorer.has_more_options(job, now):
             self.starvation_holds.hold_machines(job, now)
             return []
         if self.quotas.has_orphans(job) or not self.quotas.allows(job, spec.task_count):
--- a/src/passrock/core/machine_scoring.py
+++ b/src/passrock/core/machine_scoring.py
@@ -4,6 +4,7 @@
 
 from heapq import heapify, heappush
 
+from passrock.core.deferral import DeferralTracker
 from passrock.core.free_capacity import FreeCapacity
 from passrock.core.job import Job
 from passrock.core.job_table import JobTable
@@ -18,6 +19,7 @@
 ON_DEMAND_COST_S = 40.0  # for an on-demand machine if the job may use spot instances
 FRAGMENTATION_COST_S = 40.0  # times the share that a service replica leaves free on an empty machine while it runs
 AVOIDED_MACHINE_COST_S = 1000.0  # for a machine on which a task of the job has failed
+HELD_MACHINE_COST_S = 1000.0  # for a machine that is held for another job
 
 # Cost in seconds, machine name (the tie-breaker) and machine, in the order in which heapq compares them.
 Candidate = tuple[float, str, Machine]
@@ -33,12 +35,14 @@
         objectives: ServiceLevelObjectives,
         capacity: FreeCapacity,
         holds: MachineHolds,
+        deferrals: DeferralTracker,
     ) -> None:
         self.job_table = job_table
         self.assignments = assignments
         self.objectives = objectives
         self.capacity = capacity
         self.holds = holds
+        self.deferrals = deferrals
 
     def cost(self, job: Job, machine: Machine) -> float:
         """Return the cost, in seconds, of placing a task of the job on the machine."""
@@ -53,6 +57,8 @@
             cost += ON_DEMAND_COST_S
         if machine.name in job.avoided_machines:
             cost += AVOIDED_MACHINE_COST_S
+        if not self.holds.allows(job, machine):
+            cost += HELD_MACHINE_COST_S
         if spec.kind is JobKind.SERVICE:
             # Service replicas run for long, and spread over empty machines they fragment each of these: the remaining
             # capacity is of no use to gangs that need entire machines, and is paid for until the last of them ends.
@@ -66,10 +72,11 @@
 
         An array that may use spot instances leaves on-demand machines to other jobs as long as its objectives
         allow it to wait: otherwise arrays occupied on-demand machines for minutes, and gangs that may not use spot
-        instances waited although spot instances were free.
+        instances waited although spot instances were free. A job whose deferral is exhausted may use every machine.
         """
         spec = job.spec
-        prefers_spot = spec.may_wait_for_spot
+        is_deferrable = not self.deferrals.is_exhausted(job, now)
+        prefers_spot = is_deferrable and spec.may_wait_for_spot
         spot_only = {
             name: prefers_spot and not self.objectives.too_urgent_for_spot(job, machine_type, now)
             for name, machine_type in self.capacity.machine_types.items()
@@ -81,7 +88,7 @@
             and spec.allows(machine.type.name, machine.zone, spot=machine.spot)
             and (zone is None or machine.zone == zone)
             and (machine.spot or not spot_only[machine.type.name])
-            and not self._is_withheld(job, machine, now)
+            and not (is_deferrable and self._is_withheld(job, machine, now))
         ]
 
     def _is_withheld(self, job: Job, machine: Machine, now: float) -> bool:
@@ -93,6 +100,10 @@
         run_s = machine.image_fetch_time_s(job.spec) + job.spec.estimated_run_s * RUN_TIME_MARGIN_RATIO
         return not self.holds.allows_until(now + run_s, job, machine)
 
+    def has_more_options(self, job: Job, now: float) -> bool:
+        """Whether the job may use machines that other jobs of its shape may not."""
+        return self.holds.exist_for(job) or self.deferrals.is_exhausted(job, now)
+
     def candidate_heap(self, job: Job, zone: str | None, now: float) -> list[Candidate]:
         """Return the candidates as a heap by cost; placing a task changes only the cost of the task's machine."""
         heap = [(self.cost(job, machine), machine.name, machine) for machine in self.candidates(job, zone, now)]
--- a/src/passrock/core/scheduler.py
+++ b/src/passrock/core/scheduler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from passrock.core.capacity_forecast import CapacityForecast
+from passrock.core.deferral import DeferralTracker
 from passrock.core.free_capacity import FreeCapacity
 from passrock.core.gang_placement import GangPlacement
 from passrock.core.inventory import MachineInventory
@@ -54,10 +55,17 @@
         self.queue = JobQueue(job_table, teams, objectives, self.capacity, self.overrides)
         self.holds = MachineHolds()
         self._forecast = CapacityForecast(job_table, self.capacity, self.stop_latency_s)
+        self._deferrals = DeferralTracker(self.capacity, self.quotas, self.holds)
         self._starvation_holds = StarvationHolds(
-            self.queue, objectives, self.quotas, self.capacity, self.holds, self._forecast, self.stop_latency_s
+            self.queue,
+            objectives,
+            self.quotas,
+            self.capacity,
+            self.holds,
+            self._forecast,
+            self.stop_latency_s,
         )
-        scorer = MachineScorer(job_table, assignments, objectives, self.capacity, self.holds)
+        scorer = MachineScorer(job_table, assignments, objectives, self.capacity, self.holds, self._deferrals)
         self._tasks = TaskPlacement(job_table, self.quotas, self.capacity, self.holds, scorer)
         self._gangs = GangPlacement(job_table, self.quotas, self.capacity, self.holds, scorer, self._starvation_holds)
 
@@ -70,13 +78,16 @@
         """Start the tasks that fit and return their attempts; ``waiting_jobs`` lists the jobs that still wait."""
         self._begin_pass(now)
         self.waiting_jobs = self.queue.ready_jobs(now)
-        if not self.capacity.schedulable or not self.waiting_jobs:
+        if not self.waiting_jobs:
+            self._deferrals.clear()
             return []
         self.capacity.update_with_capacity(self.waiting_jobs)
         started: list[TaskAttempt] = []
-        for job in self.waiting_jobs:
-            started += self._place(job, now)
+        if self.capacity.schedulable:
+            for job in self.waiting_jobs:
+                started += self._place(job, now)
         self.waiting_jobs = [job for job in self.waiting_jobs if job.waiting_count > 0]
+        self._deferrals.update(self.waiting_jobs, now)
         return started
 
     def _begin_pass(self, now: float) -> None:
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -88,20 +88,33 @@
             self._check_waiting_jobs(now)
 
     def _check_waiting_jobs(self, now):
-        """Check that, once faults are over, no job waits for 90 s while a suitable machine has room."""
-        jobs_on_machines = {job for (job, _), places in self.placements.items() if places}
+        """Check that, once faults are over, no task waits for 90 s while a suitable machine has room."""
+        placed = {}  # job -> indexes of its tasks that are on machines
+        for (job, index), places in self.placements.items():
+            if places:
+                placed.setdefault(job, set()).add(index)
         for job in self.accepted:
             spec = self.cluster.specs[job]
             ended = job in self.cancel_requested or self.confirmed_states[job][1] in FINAL_STATES
-            tasks = 1 if spec["format"] == "batch" else spec["volumes"]
-            if ended or job in jobs_on_machines or not self._has_room(spec, tasks):
+            count = 0 if ended else self._count_waiting(spec, placed.get(job, set()))
+            if count == 0 or not self._has_room(spec, count, placed.get(job, set())):
                 self.waiting_since.pop(job, None)
             elif now - max(self.waiting_since.setdefault(job, now), self.cluster.disrupted_until) > 90.0:
                 self.record_violation("schedulable_job_waited", job)
                 self.waiting_since[job] = now
 
-    def _has_room(self, spec, tasks):
-        """Whether a job could start on the machines that are up."""
+    def _count_waiting(self, spec, placed):
+        """Return how many tasks of a job must find room together: all of a gang, otherwise one; 0 if none waits."""
+        job = spec["ref"]
+        waits = any(
+            index not in placed and (job, index) not in self.cluster.completed for index in range(spec["volumes"])
+        )
+        if spec["format"] == "group":
+            return spec["volumes"] if waits and not placed else 0
+        return 1 if waits else 0
+
+    def _has_room(self, spec, tasks, placed):
+        """Whether ``tasks`` more tasks of a job, of which some are ``placed``, could start on the machines."""
         used = sum(
             self.cluster.specs[job]["cards"] * len(places)
             for (job, _), places in self.placements.items()
@@ -109,21 +122,35 @@
         )
         if used + spec["cards"] * tasks > self.cluster.limits["gpus_max"]:
             return False
+        present = [
+            self.cluster.zone_of[name]
+            for index in placed
+            for name, _ in self.placements[(spec["ref"], index)]  # tasks of the job by zone
+        ]
         zones = {}
         for worker in self.cluster.workers.values():
             if worker.hung_until > self.cluster.now() or worker.reclaim_at is not None or worker.tasks_fail:
                 continue
-            if (spec["branch"] not in (None, worker.zone)) or (worker.spot and not spec["loaners"]):
+            if spec["samePlace"] and present and worker.zone not in present:
                 continue
-            size = self.cluster.cloud.machine_types[worker.type]
-            placed_specs = [self.cluster.specs[t.job] for t in worker.tasks.values() if t.state != "exited"]
-            fits = min(
-                int((size[field] - sum(placed_spec[field] for placed_spec in placed_specs) + 1e-6) / spec[field])
-                for field in ("cores", "cards", "ramGb")
-            )
-            zones[worker.zone] = zones.get(worker.zone, 0) + fits
+            zones[worker.zone] = zones.get(worker.zone, 0) + self._count_fitting(spec, worker)
+        if spec["spread"]:
+            max_per_zone = (spec["volumes"] + 1) // 2
+            zones = {zone: min(count, max_per_zone - present.count(zone)) for zone, count in zones.items()}
         return (max(zones.values(), default=0) if spec["samePlace"] else sum(zones.values())) >= tasks
 
+    def _count_fitting(self, spec, worker):
+        """Return how many tasks of a job fit into the room on a machine."""
+        if spec["branch"] not in (None, worker.zone) or (worker.spot and not spec["loaners"]):
+            return 0
+        size = self.cluster.cloud.machine_types[worker.type]
+        placed_specs = [self.cluster.specs[task.job] for task in worker.tasks.values() if task.state != "exited"]
+        return min(
+            int((size[field] - sum(placed_spec[field] for placed_spec in placed_specs) + 1e-6) / spec[field])
+            for field in ("cores", "cards", "ramGb")
+            if spec[field] > 0
+        )
+
     def on_query(self, job):
         """Record a user's query of an accepted job, which once faults are over must not go unanswered for 75 s."""
         now = self.cluster.now()
--- a/tests/standins/cloud_service.py
+++ b/tests/standins/cloud_service.py
@@ -46,12 +46,12 @@
             self.machines[name][0]["status"] = "running"
             self.on_machine_up(self.machines[name][0])
 
-    def delete(self, name):
-        """Remove a machine that was deleted or reclaimed."""
+    def delete(self, name, restores_capacity=True):
+        """Remove a machine that was deleted, reclaimed or, if that restores no capacity, lost for good."""
         entry = self.machines.pop(name, None)
         if entry is not None:
             machine = entry[0]
-            self.capacity[(machine["binding"], machine["branch"], machine["loaners"])] += 1
+            self.capacity[(machine["binding"], machine["branch"], machine["loaners"])] += restores_capacity
             self.on_machine_lost(name)
 
     async def handle(self, method, path, body):
--- a/tests/standins/simulated_cluster.py
+++ b/tests/standins/simulated_cluster.py
@@ -149,3 +149,26 @@
             self.spawn(self.inject_faults(duration_s * 0.7, mean_fault_interval_s))
         await asyncio.sleep(duration_s)
         return self.checker
+
+    async def run_workload_on_full_cloud(self, duration_s, jobs, lost_machines):
+        """Submit jobs of any size, some with tasks that run for long, and lose machines for good; return the checker.
+
+        The cluster has to be created without further capacity of the cloud, and with a quota for all its machines.
+        """
+        self.checker.check_waiting = True
+        largest_gang = len(self.cloud.machines)
+        for number in range(jobs):
+            spec = self.random_job_of_any_size(number, largest_gang)
+            is_cancelled = spec["format"] == "service" and self.rng.random() < 0.5
+            cancel_after_s = self.rng.uniform(60.0, 120.0) if is_cancelled else math.inf
+            run_s = self.rng.uniform(10.0, 200.0)
+            at = self.rng.uniform(0.0, duration_s / 2)
+            asyncio.get_running_loop().call_later(
+                at, lambda s=spec, r=run_s, c=cancel_after_s: self.spawn(self.simulate_user(s, r, c))
+            )
+        for _ in range(lost_machines):
+            await asyncio.sleep(self.rng.uniform(2.0, 20.0))
+            self.cloud.delete(self.random_worker().name, restores_capacity=False)
+        self.disrupted_until = self.now() + self.limits["lease_s"]
+        await asyncio.sleep(duration_s - self.now())
+        return self.checker
--- a/tests/standins/users.py
+++ b/tests/standins/users.py
@@ -50,6 +50,23 @@
             fields.update(volumes=rng.choice([1, 3]), spread=True, precedence="prod", loanS=0.0)
         return self.job(number, **fields)
 
+    def random_job_of_any_size(self, number, largest_gang):
+        """Return the spec of a random job; gangs have up to ``largest_gang`` tasks that each need a whole machine."""
+        rng = self.rng
+        kind = rng.choice(["batch", "batch", "group", "service"])
+        fields = {"format": kind, "branch": rng.choice([None, None, None, rng.choice(self.zones)])}
+        fields["cards"] = rng.choice([0.0, 1.0, 2.0])
+        if kind == "service":
+            fields.update(volumes=rng.randint(1, 3), precedence="prod", loanS=0.0, spread=rng.random() < 0.5)
+            return self.job(number, **fields)
+        fields.update(loaners=rng.random() < 0.6, precedence=rng.choice(["standard", "high"]))
+        fields.update(bookmarkS=5.0, shelveS=2.0, loanS=rng.uniform(10.0, 200.0))
+        if kind == "batch":
+            fields.update(volumes=rng.randint(1, 2 * largest_gang))
+        else:
+            fields.update(volumes=rng.randint(2, largest_gang), samePlace=rng.random() < 0.5, cards=2.0)
+        return self.job(number, **fields)
+
     async def simulate_user(self, spec, run_s=8.0, cancel_after_s=None):
         """Submit a job, query it until it is done or cancelled, and then query it five more times."""
         job = spec["ref"]
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -48,6 +48,33 @@
     assert done >= 8  # most users are served in spite of the faults
 
 
+@pytest.mark.parametrize(
+    ("seed", "zones", "machines"),
+    [
+        (0, ("a", "b"), 3),
+        (1, ("a",), 4),
+        (7, ("a",), 4),
+        (10, ("a", "b"), 7),
+        (13, ("a",), 4),
+        (17, ("a",), 8),
+        (18, ("a", "b"), 3),
+        (44, ("a", "b"), 5),
+    ],
+)
+def test_no_job_waits_beside_machines_with_room_on_a_full_cloud(seed, zones, machines):
+    """Regression: machines were held without a limit for gangs that never found enough, and all other jobs waited."""
+
+    async def main():
+        cluster = SimulatedCluster(
+            seed, zones=zones, machines=machines, quota=2.0 * machines, capacity=(seed % 3 if seed % 4 == 0 else 0, 0)
+        )
+        return await cluster.run_workload_on_full_cloud(420.0, jobs=10, lost_machines=1)
+
+    checker = virtual_time.run(main())
+    assert checker.violations == []
+    assert checker.starts > 0
+
+
 def test_failover_keeps_the_machines():
     """Regression: a new leader deleted every old machine from which it had not yet had a heartbeat."""
 
--- a/tests/test_starvation_holds.py
+++ b/tests/test_starvation_holds.py
@@ -1,13 +1,19 @@
 """Holds for starving gangs: only with the prospect of a start, and with backfilling until then."""
 
+import itertools
+import math
+import random
+
 import pytest
 
 from builders import BOX, SchedulerHarness
-from passrock.core.model import JobKind, Priority, Resources
+from passrock.core.deferral import SCHEDULABLE_WAIT_LIMIT_S
+from passrock.core.model import JobKind, Priority, Resources, Team
 
 WHOLE_MACHINE = Resources(10, 2, 50)
 GANG = {"kind": JobKind.GANG, "task_count": 4, "resources": WHOLE_MACHINE, "priority": Priority.HIGH}
 STARVING_AT = 60.0
+BEGIN_WITHIN_S = 240.0  # the limit of users for the largest gangs
 
 
 def on_demand(count, zone="a"):
@@ -112,3 +118,70 @@
     for number, estimated_run_s in ((2, 100.0), (3, 5.0)):
         harness.job(number, team="t1", at=STARVING_AT, estimated_run_s=estimated_run_s)
     assert [job for job, _, _ in harness.run(STARVING_AT)] == ["wk-3"]
+
+
+class SteadyLoad:
+    """Small jobs that keep a cluster occupied: whenever fewer than ``backlog`` wait, another one is submitted."""
+
+    def __init__(self, seed, machine_count, mean_run_s, backlog):
+        self.random = random.Random(seed)
+        teams = {name: Team(name, 0, 0, 0, 0) for name in ("t0", "t1")}
+        self.harness = SchedulerHarness(on_demand(machine_count), teams=teams)
+        self.mean_run_s, self.backlog = mean_run_s, backlog
+        self.job_table = self.harness.job_table
+        self.run_s = {}  # job -> its true run time
+        self.small_jobs = itertools.count(100)
+        self.waits_beside_capacity_since = {}
+        self.longest_wait_s = 0.0
+
+    def play_second(self, now):
+        """End the tasks that are due, submit jobs, run a pass and check the waiting small jobs."""
+        for attempt in [attempt for job in self.job_table.jobs.values() for attempt in job.attempts()]:
+            if now >= attempt.placed_at + self.run_s.get(attempt.job.spec.id, math.inf):
+                self.job_table.record_attempt_completed(attempt)
+        for job_id in list(self.job_table.finalizing):
+            self.job_table.remove(self.job_table.jobs[job_id])
+        self.harness.advance(now)
+        while sum(job.waiting_count > 0 for job in self.job_table.jobs.values()) < self.backlog:
+            self.submit(now)
+        self.harness.run(now)
+        self.check_waiting(now)
+
+    def submit(self, now):
+        """Submit a small job whose estimated run time is wrong by up to half."""
+        run_s = self.mean_run_s * self.random.uniform(0.5, 1.5)
+        resources = self.random.choice([WHOLE_MACHINE, WHOLE_MACHINE, Resources(5, 1, 20)])
+        estimate_s = run_s * self.random.uniform(0.5, 1.5)
+        job = self.harness.job(
+            next(self.small_jobs), at=now, team="t1", resources=resources, estimated_run_s=estimate_s, image_gb=0.5
+        )
+        self.run_s[job.spec.id] = run_s
+
+    def check_waiting(self, now):
+        machines = self.harness.inventory.machines.values()
+        for job in self.job_table.jobs.values():
+            beside_capacity = any(job.spec.resources.fits(machine.free_capacity) for machine in machines)
+            if job.waiting_count and job.spec.kind is JobKind.ARRAY and beside_capacity:
+                since = self.waits_beside_capacity_since.setdefault(job.spec.id, now)
+                self.longest_wait_s = max(self.longest_wait_s, now - since)
+            else:
+                self.waits_beside_capacity_since.pop(job.spec.id, None)
+
+
+@pytest.mark.parametrize(
+    ("machine_count", "task_count", "mean_run_s"), [(4, 4, 60), (8, 8, 60), (8, 4, 100), (30, 16, 100)]
+)
+@pytest.mark.parametrize("seed", range(3))
+def test_large_gangs_start_while_small_jobs_keep_coming(machine_count, task_count, mean_run_s, seed):
+    """Both promises at once: without holds the gang starved; with unlimited holds the small jobs waited too long."""
+    load = SteadyLoad(seed, machine_count, mean_run_s, backlog=max(3, machine_count // 2))
+    submitted_at = 60.0
+    gang = None
+    for second in range(int(submitted_at + BEGIN_WITHIN_S)):
+        if second == submitted_at:
+            gang = load.harness.job(1, **{**GANG, "task_count": task_count}, at=submitted_at, single_zone=True)
+        load.play_second(float(second))
+        if gang is not None and gang.attempt_count:
+            break
+    assert gang.attempt_count == task_count
+    assert load.longest_wait_s < SCHEDULABLE_WAIT_LIMIT_S
