--- a/src/passrock/admission/controller/outcomes.py
+++ b/src/passrock/admission/controller/outcomes.py
@@ -51,7 +51,7 @@
 
     def _settle(self, stored: StoredAllocation, service: ReceivedService) -> None:
         admitted = self.admitted.counts(stored.allocation.slot)
-        for flow in {*stored.granted, *admitted}:
+        for flow in sorted({*stored.granted, *admitted}):
             service.charge(flow, admitted.get(flow, 0) - stored.granted.get(flow, 0), self.weights)
         decision = self._decision(stored, admitted)
         _log_decision(decision)
--- a/tests/test_admission_slots.py
+++ b/tests/test_admission_slots.py
@@ -1,6 +1,9 @@
 """Slots under overload and faults in the simulation: one allocation per slot, and interactive jobs are admitted."""
 
 import asyncio
+import os
+import subprocess
+import sys
 
 import msgspec
 import pytest
@@ -485,3 +488,33 @@
     checker = virtual_time.run(main())
     assert checker.verify() == []
     assert checker.abandoned == set()
+
+
+ALLOCATIONS_SCRIPT = """
+import asyncio
+from standins import virtual_time
+from test_admission_slots import WARM_UP_S, overloaded_cluster, start_overload
+
+async def main():
+    cluster, checker = overloaded_cluster(4)
+    await asyncio.sleep(WARM_UP_S)
+    start_overload(cluster, checker, for_s=20.0)
+    await asyncio.sleep(20.0)
+    return checker.pages
+
+print(sorted(virtual_time.run(main()).items()))
+"""
+
+
+def test_allocations_do_not_depend_on_the_hash_seed():
+    """Regression: service was settled in the order of a set, so that a seed did not replay in another process."""
+    outputs = {
+        subprocess.run(
+            [sys.executable, "-c", ALLOCATIONS_SCRIPT],
+            env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": os.pathsep.join(sys.path)},
+            capture_output=True,
+            check=True,
+        ).stdout
+        for hash_seed in ("0", "26")
+    }
+    assert len(outputs) == 1
