--- a/tests/test_admission_slots.py
+++ b/tests/test_admission_slots.py
@@ -157,10 +157,14 @@
     assert first.pacing_share <= 1.0
 
 
-@pytest.mark.parametrize("fault", ["outage", "refused_leader", "refused_follower", "slow", "peers"])
-def test_store_and_peer_faults_for_several_slots(fault):
+@pytest.mark.parametrize(
+    ("fault", "seed"),
+    [(fault, 4) for fault in ("outage", "refused_leader", "refused_follower", "slow", "peers")]
+    + [("refused_follower", 55)],
+)
+def test_store_and_peer_faults_for_several_slots(fault, seed):
     async def main():
-        cluster, checker = overloaded_cluster(4)
+        cluster, checker = overloaded_cluster(seed)
         await asyncio.sleep(WARM_UP_S)
         start_overload(cluster, checker, for_s=70.0)
         await asyncio.sleep(6.0)
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -1,6 +1,7 @@
 """Seeded simulations of the real controllers in a cluster with faults, in which the checker verifies every rule."""
 
 import asyncio
+import math
 
 import cbor2
 import pytest
@@ -10,6 +11,7 @@
 from passrock.core.reconciler import Reconciler
 from passrock.io.http_server import Request, Response
 from standins import virtual_time
+from standins.scenarios import machines_of
 from standins.simulated_cluster import SimulatedCluster
 
 
@@ -75,6 +77,29 @@
     assert checker.starts > 0
 
 
+def test_idle_machines_of_the_zone_buffer_and_of_reservations_take_tasks():
+    """Machines that are kept for the loss of a zone, or assigned to another team, take waiting tasks."""
+
+    async def main():
+        cluster = SimulatedCluster(12)
+        service = cluster.job(0, format="service", volumes=4, spread=True, precedence="prod", loanS=0.0)
+        cluster.spawn(cluster.simulate_user(service, cancel_after_s=math.inf))
+        await asyncio.sleep(120.0)  # by then machines that no reservation and no buffer needs are deleted
+        cluster.cloud.capacity = dict.fromkeys(cluster.cloud.capacity, 0)
+        scheduler = cluster.nodes[await cluster.wait_for_leader()].node.leader_term.scheduler
+        idle = [name for name, worker in cluster.workers.items() if not worker.tasks]
+        assigned_to_others = [name for name in idle if scheduler.assignments.get(name) == service["desk"]]
+        array = cluster.job(1, volumes=len(idle), cards=2.0)
+        cluster.spawn(cluster.simulate_user(array, run_s=1e6, cancel_after_s=math.inf))
+        await asyncio.sleep(10.0)
+        return idle, assigned_to_others, machines_of(cluster, array["ref"])
+
+    idle, assigned_to_others, used = virtual_time.run(main())
+    assert idle
+    assert assigned_to_others
+    assert used == sorted(idle)
+
+
 def test_failover_keeps_the_machines():
     """Regression: a new leader deleted every old machine from which it had not yet had a heartbeat."""
 
