--- a/src/passrock/controller/evaluation_loop.py
+++ b/src/passrock/controller/evaluation_loop.py
@@ -135,6 +135,9 @@
                 attempt=attempt.number,
                 machine=attempt.machine,
             )
+        for job in self.scheduler.deferrals.newly_exhausted:
+            waited_s = round(now - job.waiting_since)
+            info("job_deferral_exhausted", job=job.spec.id, waited_s=waited_s, held=len(self.scheduler.holds))
         for observer in self._observers:
             observer(self.scheduler, placed, now)
         if self.scheduler.truncated:
--- a/src/passrock/core/deferral.py
+++ b/src/passrock/core/deferral.py
@@ -28,10 +28,17 @@
 
 
 class Deferral(NamedTuple):
-    """The first and the last pass of a job's deferral, by their monotonic times."""
+    """The deferral of one job.
+
+    Attributes:
+        since: the monotonic time of the first pass of the deferral.
+        last_seen_at: the monotonic time of its last pass.
+        is_exhausted: whether the job has been deferred for as long as it may be.
+    """
 
     since: float
     last_seen_at: float
+    is_exhausted: bool
 
 
 class DeferralTracker:
@@ -41,6 +48,9 @@
         capacity: the free capacity of the present pass.
         quotas: the quotas of the teams.
         holds: the machine holds.
+
+    Attributes:
+        newly_exhausted: the jobs whose deferral was first found exhausted after the last pass.
     """
 
     def __init__(self, capacity: FreeCapacity, quotas: TeamQuotas, holds: MachineHolds) -> None:
@@ -48,6 +58,7 @@
         self.quotas = quotas
         self.holds = holds
         self.inventory = capacity.inventory
+        self.newly_exhausted: list[Job] = []
         self._deferrals: dict[str, Deferral] = {}
         self._launch_latency_s = LAUNCH_LATENCY_HEARTBEATS * self.inventory.health.heartbeat_interval_s
         self._schedulable_by_shape: dict[TaskShape, bool] = {}  # after this pass
@@ -56,24 +67,29 @@
         self._takeover_until = self.inventory.health.observing_since + self.inventory.health.lease_s
         self._deferred_after_takeover: set[str] = set()
 
-    def is_exhausted(self, job: Job, now: float) -> bool:
+    def is_exhausted(self, job: Job) -> bool:
         """Whether the job was deferred for as long as it may be: neither holds nor a preference for spot apply."""
         deferral = self._deferrals.get(job.spec.id)
-        return deferral is not None and now - deferral.since >= self._limit_s(job.spec)
+        return deferral is not None and deferral.is_exhausted
 
     def clear(self) -> None:
         """Forget all deferrals: no job waits."""
         self._deferrals = {}
+        self.newly_exhausted = []
 
     def update(self, waiting_jobs: list[Job], now: float) -> None:
         """Update the deferral of each job after a pass, from the capacity that the pass has left free."""
         self._schedulable_by_shape = {}
         self._unschedulable_gangs = {}
+        self.newly_exhausted = []
         deferrals: dict[str, Deferral] = {}
         for job in waiting_jobs:
             deferral = self._deferral(job, now)
-            if deferral is not None:
-                deferrals[job.spec.id] = deferral
+            if deferral is None:
+                continue
+            deferrals[job.spec.id] = deferral
+            if deferral.is_exhausted and not self.is_exhausted(job):
+                self.newly_exhausted.append(job)
         self._deferrals = deferrals
 
     def _limit_s(self, spec: JobSpec) -> float:
@@ -88,7 +104,7 @@
         previous = self._deferrals.get(job.spec.id)
         if self._may_be_deferred(job) and self._has_capacity_for(job):
             since = self._first_deferred_at(job, now) if previous is None else previous.since
-            return Deferral(since, now)
+            return Deferral(since, now, is_exhausted=now - since >= self._limit_s(job.spec))
         # To users, a machine has capacity until a task is launched there; and while a single heartbeat is late.
         if previous is not None and now - previous.last_seen_at <= self._launch_latency_s:
             return previous
--- a/src/passrock/core/gang_placement.py
+++ b/src/passrock/core/gang_placement.py
@@ -53,7 +53,7 @@
         shape = GangShape.of(spec)
         unschedulable_size = self._unschedulable_shapes.get(shape)
         is_unschedulable = unschedulable_size is not None and spec.task_count >= unschedulable_size
-        if is_unschedulable and not self.scorer.has_more_options(job, now):
+        if is_unschedulable and not self.scorer.has_more_options(job):
             self.starvation_holds.hold_machines(job, now)
             return []
         if self.quotas.has_orphans(job) or not self.quotas.allows(job, spec.task_count):
--- a/src/passrock/core/machine_scoring.py
+++ b/src/passrock/core/machine_scoring.py
@@ -75,7 +75,7 @@
         instances waited although spot instances were free. A job whose deferral is exhausted may use every machine.
         """
         spec = job.spec
-        is_deferrable = not self.deferrals.is_exhausted(job, now)
+        is_deferrable = not self.deferrals.is_exhausted(job)
         prefers_spot = is_deferrable and spec.may_wait_for_spot
         spot_only = {
             name: prefers_spot and not self.objectives.too_urgent_for_spot(job, machine_type, now)
@@ -100,9 +100,9 @@
         run_s = machine.image_fetch_time_s(job.spec) + job.spec.estimated_run_s * RUN_TIME_MARGIN_RATIO
         return not self.holds.allows_until(now + run_s, job, machine)
 
-    def has_more_options(self, job: Job, now: float) -> bool:
+    def has_more_options(self, job: Job) -> bool:
         """Whether the job may use machines that other jobs of its shape may not."""
-        return self.holds.exist_for(job) or self.deferrals.is_exhausted(job, now)
+        return self.holds.exist_for(job) or self.deferrals.is_exhausted(job)
 
     def candidate_heap(self, job: Job, zone: str | None, now: float) -> list[Candidate]:
         """Return the candidates as a heap by cost; placing a task changes only the cost of the task's machine."""
--- a/src/passrock/core/scheduler.py
+++ b/src/passrock/core/scheduler.py
@@ -24,8 +24,8 @@
 class Scheduler:
     """Places waiting tasks, one pass at a time.
 
-    Between passes ``capacity``, ``quotas``, ``queue`` and ``holds`` keep the state of the last pass, which
-    preemption and fair admission read.
+    Between passes ``capacity``, ``quotas``, ``queue``, ``holds`` and ``deferrals`` keep the state of the last pass,
+    which preemption, fair admission and the log read.
 
     Attributes:
         assignments: the team by machine name, as assigned in the last binding round.
@@ -55,7 +55,7 @@
         self.queue = JobQueue(job_table, teams, objectives, self.capacity, self.overrides)
         self.holds = MachineHolds()
         self._forecast = CapacityForecast(job_table, self.capacity, self.stop_latency_s)
-        self._deferrals = DeferralTracker(self.capacity, self.quotas, self.holds)
+        self.deferrals = DeferralTracker(self.capacity, self.quotas, self.holds)
         self._starvation_holds = StarvationHolds(
             self.queue,
             objectives,
@@ -65,7 +65,7 @@
             self._forecast,
             self.stop_latency_s,
         )
-        scorer = MachineScorer(job_table, assignments, objectives, self.capacity, self.holds, self._deferrals)
+        scorer = MachineScorer(job_table, assignments, objectives, self.capacity, self.holds, self.deferrals)
         self._tasks = TaskPlacement(job_table, self.quotas, self.capacity, self.holds, scorer)
         self._gangs = GangPlacement(job_table, self.quotas, self.capacity, self.holds, scorer, self._starvation_holds)
 
@@ -79,7 +79,7 @@
         self._begin_pass(now)
         self.waiting_jobs = self.queue.ready_jobs(now)
         if not self.waiting_jobs:
-            self._deferrals.clear()
+            self.deferrals.clear()
             return []
         self.capacity.update_with_capacity(self.waiting_jobs)
         started: list[TaskAttempt] = []
@@ -87,7 +87,7 @@
             for job in self.waiting_jobs:
                 started += self._place(job, now)
         self.waiting_jobs = [job for job in self.waiting_jobs if job.waiting_count > 0]
-        self._deferrals.update(self.waiting_jobs, now)
+        self.deferrals.update(self.waiting_jobs, now)
         return started
 
     def _begin_pass(self, now: float) -> None:
--- a/src/passrock/core/task_placement.py
+++ b/src/passrock/core/task_placement.py
@@ -51,7 +51,7 @@
         spec = job.spec
         shape = TaskShape.of(spec)
         is_unschedulable = spec.estimated_run_s >= self._unschedulable_shapes.get(shape, math.inf)
-        if is_unschedulable and not self.scorer.has_more_options(job, now):
+        if is_unschedulable and not self.scorer.has_more_options(job):
             return []
         zones = ZoneConstraint.of(job, self.capacity.inventory)
         if zones.has_unknown_zone or not self.quotas.allows(job, 1):
