--- a/src/passrock/core/deferral.py
+++ b/src/passrock/core/deferral.py
@@ -31,12 +31,14 @@
     """The deferral of one job.
 
     Attributes:
-        since: the monotonic time of the first pass of the deferral.
-        last_seen_at: the monotonic time of its last pass.
+        since: monotonic time; after a takeover, an estimate of when the previous leader began to defer the job.
+        observed_since: the monotonic time of the first pass of this leader in which the job was deferred.
+        last_seen_at: the monotonic time of the last such pass.
         is_exhausted: whether the job has been deferred for as long as it may be.
     """
 
     since: float
+    observed_since: float
     last_seen_at: float
     is_exhausted: bool
 
@@ -65,6 +67,9 @@
         self._unschedulable_gangs: dict[GangShape, int] = {}  # by shape, the least number of tasks that don't fit
         # Until then, a job may have been deferred by the previous leader already.
         self._takeover_until = self.inventory.health.observing_since + self.inventory.health.lease_s
+        # After a takeover every job that has waited for long seems to have been deferred, also those for which there
+        # was no capacity: if all of them used held machines at once, gangs lost their machines at each takeover.
+        self._least_observed_s = min(self.inventory.health.lease_s, SCHEDULABLE_WAIT_LIMIT_S * MIN_DEFERRAL_RATIO)
         self._deferred_after_takeover: set[str] = set()
 
     def is_exhausted(self, job: Job) -> bool:
@@ -104,7 +109,9 @@
         previous = self._deferrals.get(job.spec.id)
         if self._may_be_deferred(job) and self._has_capacity_for(job):
             since = self._first_deferred_at(job, now) if previous is None else previous.since
-            return Deferral(since, now, is_exhausted=now - since >= self._limit_s(job.spec))
+            observed_since = now if previous is None else previous.observed_since
+            is_exhausted = now - since >= self._limit_s(job.spec) and now - observed_since >= self._least_observed_s
+            return Deferral(since, observed_since, now, is_exhausted)
         # To users, a machine has capacity until a task is launched there; and while a single heartbeat is late.
         if previous is not None and now - previous.last_seen_at <= self._launch_latency_s:
             return previous
--- a/tests/test_deferral.py
+++ b/tests/test_deferral.py
@@ -166,19 +166,28 @@
     assert scheduled_at >= 66.0 + SCHEDULABLE_WAIT_LIMIT_S * MIN_DEFERRAL_RATIO
 
 
+def wait_under_a_new_leader(term_began_at):
+    """Return when a job that was submitted at 0 and deferred by one leader is scheduled by the next one."""
+    harness = SchedulerHarness([], term_began_at=term_began_at)
+    holder, job = job_that_holds(harness), harness.job(2, **WAITING_JOB)
+    harness.inventory.observe(heartbeat("m1"), BOX, term_began_at + 2.0)
+    hold = hold_each_second(harness, lambda now: holder)
+    return last_scheduled_second(harness, job, hold, until=400, start=int(term_began_at) + 2)
+
+
 def test_a_new_leader_counts_the_wait_under_the_one_before():
     """Regression: each leader started to count anew, so that two of them together deferred a job for too long."""
-    first, job, each_second = victims_of_preemption_do_not_end()
-    assert last_scheduled_second(first, job, each_second, until=60) is None
-    second = SchedulerHarness([], term_began_at=60.0)
-    holder, job = job_that_holds(second), second.job(2, **WAITING_JOB)
-    second.inventory.observe(heartbeat("m1"), BOX, 62.0)
-    hold = hold_each_second(second, lambda now: holder)
-    scheduled_at = last_scheduled_second(second, job, hold, until=200, start=62)
+    scheduled_at = wait_under_a_new_leader(60.0)
     assert scheduled_at is not None
     assert scheduled_at <= SCHEDULABLE_WAIT_LIMIT_S - LAUNCH_AND_FETCH_S
 
 
+def test_a_takeover_does_not_end_all_holds_at_once():
+    """Jobs that have waited for long use held machines only once they have been deferred by the new leader, too."""
+    lease_s = SchedulerHarness().inventory.health.lease_s
+    assert 202.0 + lease_s <= wait_under_a_new_leader(200.0) <= 203.0 + lease_s
+
+
 def test_jobs_that_end_a_deferral_leave_held_machines_alone_where_they_can():
     """A job that may use every machine uses one that is not held, if it only waited for spot instances."""
     harness = SchedulerHarness(on_demand(2))
