--- a/src/passrock/core/free_capacity.py
+++ b/src/passrock/core/free_capacity.py
@@ -51,7 +51,8 @@
         """Return the machines that are expected to be schedulable soon."""
         if self._booting is None:
             health = self.inventory.health
-            self._booting = [m for m in self.inventory.machines.values() if health.is_booting(m, now)]
+            machines = self.inventory.machines.values()
+            self._booting = [machine for machine in machines if health.is_booting(machine, now)]
         return self._booting
 
     def free_on(self, machine: Machine) -> Resources:
--- a/src/passrock/core/objectives.py
+++ b/src/passrock/core/objectives.py
@@ -36,7 +36,8 @@
 
     Attributes:
         starvation_threshold_s: the wait after which a job without attempts is starving.
-        hold_horizon_s: machines are held for a starving job if it is expected to start within this time.
+        hold_horizon_s: machines are held for a starving job if it is expected to start within this time: the rest of
+            ``begin_within_s``, or once more the time until it was starving if that is longer.
 
     Args:
         objectives: all objectives of the platform.
@@ -48,7 +49,7 @@
         self, objectives: tuple[Objective, ...], starvation_threshold_s: float, begin_within_s: float
     ) -> None:
         self.starvation_threshold_s = starvation_threshold_s
-        self.hold_horizon_s = begin_within_s - starvation_threshold_s
+        self.hold_horizon_s = max(begin_within_s - starvation_threshold_s, starvation_threshold_s)
         self._start_limits: dict[str, list[float]] = {}
         self._finish_limits: dict[str, list[float]] = {}
         self._guarantee_limits = sorted(
