Replica: a load is the state of one revision, not pages of several

Cause: the replica read its prefixes one after the other and took the result for the state at the lowest of their revisions. When a cancelled job was finalized between the reads of jobs and cancellations, the replica had the job without its cancellation until its first watch was answered.

Change: SnapshotReader applies the changes since the first page, which one watch returns, to the pages. A load neither repeats pages nor depends on a pause between commits, and goes on where it stopped after a failed request. Listeners hear the difference between old and new state after a reload.

--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -8,6 +8,7 @@
 from threading import Lock
 
 from passrock.controller import keys
+from passrock.controller.snapshot_reader import SnapshotReader, apply_change
 from passrock.core.instants import NEVER
 from passrock.io.clock import monotonic_time
 from passrock.io.errors import CompactedError, StoreError
@@ -41,7 +42,8 @@
         entries: the keys as of ``revision``.
         final_statuses: final statuses by job id, in the order in which they were cached.
         revision: the store's revision up to which changes are applied.
-        loaded: whether the replica is complete as of ``revision``.
+        loaded: whether the entries are those that the store had at ``revision``. While they are read again they are
+            outdated, but still those of one revision.
         complete_as_of: the monotonic start time of the latest read that proved the replica complete as of that time.
     """
 
@@ -55,6 +57,7 @@
         self.loaded = False
         self.complete_as_of = NEVER
         self._listeners: list[Listener] = []
+        self._snapshot_reader: SnapshotReader | None = None  # while the replica is being loaded
         self._lock = Lock()
         self._advanced = asyncio.Event()  # set, and replaced, whenever the revision rises
 
@@ -81,39 +84,40 @@
                 await asyncio.sleep(WATCH_GAP_REQUESTS / self.store.request_bucket.rate)
             except CompactedError:
                 self.loaded = False
+                self._snapshot_reader = None
             except StoreError:
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def _load(self) -> None:
-        read_started_at = monotonic_time()
-        fresh, revision = await self._read_all()
+        """Replace the entries by a snapshot of the store, and notify the listeners of what has changed."""
+        if self._snapshot_reader is None:
+            self._snapshot_reader = SnapshotReader(self.store, self.prefixes)
+        snapshot = await self._snapshot_reader.read()
+        self._snapshot_reader = None
         with self._lock:
-            deleted = [key for key in self.entries if key not in fresh]
-            self.entries = fresh
-            self.revision = revision
+            previous = self.entries
+            self.entries = snapshot.entries
+            self.revision = snapshot.revision
             self.loaded = True
-        info("replica_loaded", keys=len(fresh), revision=self.revision)
-        for key in deleted:
-            self._notify_listeners(key, None)
-        for key, entry in fresh.items():
-            self._notify_listeners(key, entry)
-        self.mark_complete(read_started_at)
+        info(
+            "replica_loaded",
+            keys=len(snapshot.entries),
+            revision=snapshot.revision,
+            pages=snapshot.page_count,
+            watches=snapshot.watch_count,
+        )
+        self._notify_of_differences(previous, snapshot.entries)
+        self.mark_complete(snapshot.read_started_at)
         self._notify_waiters()
 
-    async def _read_all(self) -> tuple[dict[str, Entry], int]:
-        """Return all keys and the lowest revision of their pages, from which a watch misses no change."""
-        entries: dict[str, Entry] = {}
-        lowest: int | None = None
-        for prefix in self.prefixes:
-            after = ""
-            while True:
-                rows, more, revision = await self.store.list_page(prefix, after)
-                lowest = revision if lowest is None else min(lowest, revision)
-                entries.update((row.key, row) for row in rows)
-                if not more or not rows:
-                    break
-                after = rows[-1].key
-        return entries, lowest or 0
+    def _notify_of_differences(self, previous: dict[str, Entry], entries: dict[str, Entry]) -> None:
+        for key in previous:
+            if key not in entries:
+                self._notify_listeners(key, None)
+        for key, entry in list(entries.items()):
+            known = previous.get(key)
+            if known is None or known.mod_revision != entry.mod_revision:
+                self._notify_listeners(key, entry)
 
     def mark_complete(self, read_started_at: float) -> None:
         """Record that a read started then has proved the replica to include all earlier commits."""
@@ -122,20 +126,14 @@
     def apply(self, changes: list[Change], revision: int) -> None:
         """Apply the changes of a watch up to ``revision``, in its order, and notify the listeners of each."""
         for change in changes:
-            entry = Entry(change.key, change.value, change.mod_revision) if change.present else None
             if change.key.startswith(keys.FINAL):
-                if entry is not None:
-                    self.cache_final_status(change.key[len(keys.FINAL) :], entry.value["s"])
+                if change.present:
+                    self.cache_final_status(change.key[len(keys.FINAL) :], change.value["s"])
                 continue
             with self._lock:
-                current = self.entries.get(change.key)
-                if current is not None and current.mod_revision > change.mod_revision:
-                    continue
-                if entry is None:
-                    self.entries.pop(change.key, None)
-                else:
-                    self.entries[change.key] = entry
-            self._notify_listeners(change.key, entry)
+                is_applied = apply_change(self.entries, change)
+            if is_applied:
+                self._notify_listeners(change.key, self.entries.get(change.key))
         if revision > self.revision:
             self.revision = revision
             self._notify_waiters()
--- a/tests/standins/state_service.py
+++ b/tests/standins/state_service.py
@@ -17,6 +17,7 @@
         self.changed = asyncio.Event()
         self.outage = False
         self.retained_events = 10_000  # a watch from an older revision is answered with 410
+        self.max_page_keys = 1000  # a page has no more keys, whatever a request asks for
         self.commits = 0
         self.reordered_requests = 0  # late requests, unanswered and applied after newer ones of the same connection
         self.txn_ops, self.value_bytes, self.oversized_commits = 12, 4096, 0
@@ -104,7 +105,8 @@
         return 200, cbor2.dumps({})
 
     def _list_keys(self, query):
-        prefix, after, limit = query["prefix"][0], query.get("after", [""])[0], int(query["page"][0])
+        prefix, after = query["prefix"][0], query.get("after", [""])[0]
+        limit = min(int(query["page"][0]), self.max_page_keys)
         keys = sorted(key for key in self.data if key.startswith(prefix) and key > after)
         entries = [{"key": key, "v": self.data[key][0], "stamp": self.data[key][1]} for key in keys[:limit]]
         return 200, cbor2.dumps({"entries": entries, "truncated": len(keys) > limit, "ledger": self.revision})
