A copy of a start that was carried out starts nothing any more

Cause: an exit was acknowledged as soon as it was stored, and from then on a worker takes a copy of the launch for a new one. A copy of the answer may arrive until the worker drops it, 4 s after the heartbeat. A gang task restarted in place got acknowledgement and launch in one answer, whose copy needs nothing more.

Change: an exit is acknowledged when no answer of this term that carried the launch can still be accepted (core/recent_launches); a restart in place takes two answers, 4 s apart. The times that the workers' interface fixes move to core/interface_times.

Stand-ins: they could not deliver copies of answers and so proved nothing. The worker accepts copies within the limits of the protocol; requests of controllers and users and heartbeats between controllers may arrive once more, too.

--- a/src/passrock/controller/failure_detector.py
+++ b/src/passrock/controller/failure_detector.py
@@ -10,10 +10,10 @@
 from passrock.controller.provisioner import Provisioner
 from passrock.controller.term_fence import TermFence
 from passrock.core.graceful_stop import drain_machine
+from passrock.core.interface_times import WORKER_REQUEST_TIMEOUT_S
 from passrock.core.inventory import MachineInventory
 from passrock.core.job_table import JobTable
 from passrock.core.machine import Machine
-from passrock.core.machine_health import WORKER_REQUEST_TIMEOUT_S
 from passrock.core.model import Priority
 from passrock.io.peers import PeerTable
 from passrock.logs import info
--- a/src/passrock/controller/heartbeat_handler.py
+++ b/src/passrock/controller/heartbeat_handler.py
@@ -81,7 +81,7 @@
             drain_machine(self.job_table, machine.name)
         if machine.acknowledged_term and not was_usable:
             self._on_machine_registered(machine)
-        if result.changed or self._awaits_launch(machine):
+        if result.changed or self._awaits_launch(machine, now):
             return self._with_newly_committed_launches(
                 machine, heartbeat, result.commands, self.evaluations.finished_count
             )
@@ -92,10 +92,11 @@
         info("machine_registered", machine=machine.name, zone=machine.zone, spot=machine.spot)
         self.evaluations.request()
 
-    def _awaits_launch(self, machine: Machine) -> bool:
+    def _awaits_launch(self, machine: Machine, now: float) -> bool:
         attempts = self.job_table.attempts_by_machine.get(machine.name)
         return attempts is not None and any(
-            attempt.launch_sequence is None and attempt.placed_this_term for attempt in attempts.values()
+            attempt.launch_sequence is None and attempt.placed_this_term and now >= attempt.launch_not_before
+            for attempt in attempts.values()
         )
 
     async def _with_newly_committed_launches(
@@ -114,7 +115,7 @@
         if machine.deleting or self.inventory.machines.get(machine.name) is not machine:
             return None
         if self.renewal.may_launch():
-            commands += self.reconciler.newly_committed_launches(machine, heartbeat)
+            commands += self.reconciler.newly_committed_launches(machine, heartbeat, monotonic_time())
         machine.last_answer_at = monotonic_time()
         return commands
 
--- a/src/passrock/controller/leadership.py
+++ b/src/passrock/controller/leadership.py
@@ -9,7 +9,7 @@
 from passrock.controller import keys
 from passrock.controller.replica import Replica
 from passrock.core.instants import NEVER
-from passrock.core.machine_health import CLOCK_DRIFT_RATIO
+from passrock.core.interface_times import CLOCK_DRIFT_RATIO
 from passrock.io.clock import monotonic_time
 from passrock.io.errors import LeaseExpiredError, StoreError, UnknownOutcomeError
 from passrock.io.peer_messages import PeerHeartbeat
--- a/src/passrock/controller/term_fence.py
+++ b/src/passrock/controller/term_fence.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from passrock.controller.leadership import Leadership
-from passrock.core.machine_health import CLOCK_DRIFT_RATIO
+from passrock.core.interface_times import CLOCK_DRIFT_RATIO
 from passrock.io.clock import monotonic_time
 from passrock.io.peers import PeerTable, is_majority
 
--- a/src/passrock/core/cancellations.py
+++ b/src/passrock/core/cancellations.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from passrock.core.instants import NEVER
-from passrock.core.machine_health import CLOCK_DRIFT_RATIO
+from passrock.core.interface_times import CLOCK_DRIFT_RATIO
 
 
 def renewal_horizon(cancel_s: float, lease_s: float, heartbeat_interval_s: float) -> float:
--- a/src/passrock/core/job.py
+++ b/src/passrock/core/job.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from passrock.core.instants import NEVER
 from passrock.core.inventory import MachineInventory
 from passrock.core.messages import TaskState
 from passrock.core.model import JobKind, JobSpec, Resources
@@ -28,7 +29,8 @@
         page_version: the first version of the task's page whose record names this attempt.
         placed_this_term: False when the attempt was loaded from a record of an earlier leader.
         launch_sequence: the sequence number of the heartbeat whose answer last carried the launch; None if no
-            answer has carried it in this term.
+            answer has carried it in this term, or since the exit that precedes a restart in place.
+        launch_not_before: the monotonic time before which no answer may carry the launch.
         reported: whether a heartbeat has listed the attempt since it was last launched.
         state: the task's state in the last heartbeat that listed the attempt.
         stop_grace_s: the seconds that the attempt gets to save its work; None unless it has to stop.
@@ -44,6 +46,7 @@
     page_version: int = 0
     placed_this_term: bool = True
     launch_sequence: int | None = None
+    launch_not_before: float = NEVER
     reported: bool = False
     state: TaskState | None = None
     stop_grace_s: float | None = None
--- a/src/passrock/core/machine.py
+++ b/src/passrock/core/machine.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from passrock.core.model import EPSILON, ZERO_RESOURCES, JobSpec, MachineType, Resources
+from passrock.core.recent_launches import RecentLaunches
 
 # Single answers are lost occasionally; after this many consecutive answers without effect, none reaches the machine.
 UNACKNOWLEDGED_ANSWERS_LIMIT = 2
@@ -51,6 +52,7 @@
     idle_since: float | None = None
     failed_jobs: dict[str, float] = msgspec.field(default_factory=dict)
     """Ids of jobs whose tasks failed on this machine, with the time of the last failure."""
+    recent_launches: RecentLaunches = msgspec.field(default_factory=RecentLaunches)
 
     # -- image cache and capacity
     images: OrderedDict[str, float] = msgspec.field(default_factory=OrderedDict)
--- a/src/passrock/core/machine_health.py
+++ b/src/passrock/core/machine_health.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
+from passrock.core.interface_times import CLOCK_DRIFT_RATIO
 from passrock.core.machine import UNACKNOWLEDGED_ANSWERS_LIMIT, Machine
 
-# Allowed between the lengths of a lease by two clocks, each of which may be up to 0.05 % fast or slow.
-CLOCK_DRIFT_RATIO = 1.002
 # Of a type's usual boot time. Most machines have booted by then, and nothing is planned with the others.
 USUAL_BOOT_RATIO = 1.5
 # Of a type's usual boot time. Slow machines take several times as long; beyond this a boot counts as failed.
@@ -17,8 +16,6 @@
 OVERDUE_HEARTBEATS = 1.75
 # The least number of heartbeat intervals without a heartbeat after which a worker counts as unresponsive.
 MIN_UNRESPONSIVE_HEARTBEATS = 2.5
-# A worker waits this long for an answer before it contacts another controller.
-WORKER_REQUEST_TIMEOUT_S = 4.0
 
 
 def unresponsive_after(heartbeat_interval_s: float, lease_s: float, lease_ratio: float) -> float:
--- a/src/passrock/core/reconciler.py
+++ b/src/passrock/core/reconciler.py
@@ -10,6 +10,7 @@
 from passrock.core.machine import Machine
 from passrock.core.messages import Command, CommandKind, ExitReason, TaskState, TaskStatus, WorkerHeartbeat
 from passrock.core.model import ZERO_RESOURCES, Resources
+from passrock.core.recent_launches import ANSWER_LIFETIME_S
 from passrock.core.task_exits import record_exit
 
 
@@ -69,7 +70,7 @@
         self.job_table.recompute_usage(machine, now)
         return result
 
-    def newly_committed_launches(self, machine: Machine, heartbeat: WorkerHeartbeat) -> list[Command]:
+    def newly_committed_launches(self, machine: Machine, heartbeat: WorkerHeartbeat, now: float) -> list[Command]:
         """Return launches of attempts whose records were committed while the answer to this heartbeat was delayed."""
         commands = []
         for attempt in self.job_table.attempts_on(machine.name):
@@ -78,10 +79,11 @@
                 and not attempt.reported
                 and attempt.stop_grace_s is None
                 and attempt.incarnation == heartbeat.incarnation
+                and now >= attempt.launch_not_before
                 and not _must_not_launch(attempt, machine)
                 and attempt.is_committed
             ):
-                commands.append(_launch(attempt, heartbeat))
+                commands.append(_launch(attempt, machine, heartbeat, now))
         return commands
 
     # -- tasks that the heartbeat lists -----------------------------------------------------
@@ -183,7 +185,9 @@
             return False
         if must_not_run or not context.may_launch or not attempt.is_committed:
             return False
-        result.commands.append(_launch(attempt, heartbeat))
+        if context.now < attempt.launch_not_before:
+            return False
+        result.commands.append(_launch(attempt, context.machine, heartbeat, context.now))
         return proves_absence and launch_sent
 
     def _record_loss(self, attempt: TaskAttempt, context: _HeartbeatContext, result: ReconciliationResult) -> None:
@@ -202,30 +206,46 @@
             if not context.is_current_term and task.exit_reason is not ExitReason.COMPLETED:
                 return
             if context.may_launch and _can_restart_in_place(attempt, task):
-                self._restart_in_place(attempt, task, context, result)
+                self._prepare_restart_in_place(attempt, task, context, result)
                 return
             result.changed = True
             result.exits.append(TaskExit(attempt, task.exit_reason, task.checkpoint_saved))
             record_exit(attempt, task.exit_reason, context.machine, self.job_table, self.inventory, context.now)
         if self.job_table.is_task_committed(task.job, task.index) and context.may_launch:
+            self._acknowledge_exit(task, context, result)
+
+    def _acknowledge_exit(self, task: TaskStatus, context: _HeartbeatContext, result: ReconciliationResult) -> None:
+        """Let the worker drop an exited task, once it accepts no copy of the answer that launched the attempt.
+
+        Until then the worker has to keep the task: it would take a copy of the launch for a new one.
+        """
+        attempt_key = (task.job, task.index, task.attempt_number)
+        if not context.machine.recent_launches.may_repeat(attempt_key, context.now):
             result.commands.append(_command(CommandKind.ACKNOWLEDGE_EXIT, task))
 
-    def _restart_in_place(
+    def _prepare_restart_in_place(
         self, attempt: TaskAttempt, task: TaskStatus, context: _HeartbeatContext, result: ReconciliationResult
     ) -> None:
-        attempt.launch_sequence = context.heartbeat.sequence
+        """Have the exited task dropped, so that a later answer can launch its attempt again under the same number.
+
+        No answer carries both commands, and the launch waits until the worker accepts no copy of this answer: a copy
+        would drop and start whatever has become of the attempt by then.
+        """
+        attempt.launch_sequence = None
+        attempt.launch_not_before = context.now + ANSWER_LIFETIME_S
         attempt.reported = False
         attempt.state = None
-        result.commands += [_command(CommandKind.ACKNOWLEDGE_EXIT, task), _command(CommandKind.START, task)]
+        self._acknowledge_exit(task, context, result)
 
 
 def _command(kind: CommandKind, task: TaskStatus, grace_s: float = 0.0) -> Command:
     return Command(kind, task.job, task.index, task.attempt_number, grace_s)
 
 
-def _launch(attempt: TaskAttempt, heartbeat: WorkerHeartbeat) -> Command:
+def _launch(attempt: TaskAttempt, machine: Machine, heartbeat: WorkerHeartbeat, now: float) -> Command:
     """Return the command to start an attempt, and record that the answer to this heartbeat carries it."""
     attempt.launch_sequence = heartbeat.sequence
+    machine.recent_launches.record((attempt.job.spec.id, attempt.index, attempt.number), now)
     return Command(CommandKind.START, attempt.job.spec.id, attempt.index, attempt.number)
 
 
--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -22,6 +22,8 @@
         self.waiting_since = {}  # job -> time since when it waits while a machine has room for it
         # starts after a confirmed cancellation; within cancel_s they are allowed, since commands may be under way
         self.starts_after_cancellation = 0
+        self.starts_by_copies = 0  # attempts that a copy of an answer started after the answer had been carried out
+        self.starts_after_done = 0  # starts of tasks of jobs that a user was told are done
 
     def record_violation(self, rule, detail):
         self.violations.append((round(self.cluster.now(), 3), rule, detail))
@@ -41,6 +43,7 @@
         if cancelled_at is not None and self.cluster.now() - cancelled_at > self.cluster.limits["cancel_s"]:
             self.record_violation("cancelled_job_ran", f"{key} started on {worker.name}")
         self.starts_after_cancellation += cancelled_at is not None
+        self.starts_after_done += self.confirmed_states.get(task.job, (0.0, ""))[1] == "done"
 
     def on_task_ended(self, worker, task):
         self.placements.get((task.job, task.index), set()).discard((worker.name, task.attempt_number))
--- a/tests/standins/network.py
+++ b/tests/standins/network.py
@@ -74,6 +74,12 @@
                 await asyncio.Event().wait()
             return response.status, cbor2.loads(response.body) if response.body else {}
 
+    def on_answer_accepted(self, worker, answer):
+        """Let copies of a share of the accepted answers reach their workers again, up to three leases later."""
+        if self.repeated_answer_share and self.rng.random() < self.repeated_answer_share:
+            delay = self.rng.choice([0.4, 1.5, 2.5, 2.0 * self.limits["lease_s"]]) * self.rng.uniform(0.5, 1.5)
+            asyncio.get_running_loop().call_later(delay, worker.receive_copy, answer)
+
     def deliver_late_heartbeat(self, name, body):
         if name in self.nodes and self.nodes[name].alive:
             self.spawn(self.nodes[name].answer(Request("POST", "/checkin", body)))
@@ -98,4 +104,14 @@
                 response = await self._send(node or self.rng.choice(alive), Request(method, path, body))
         except (TimeoutError, ConnectionError):
             return 0, {}
+        if method == "POST" and self.repeated_request_share and self.rng.random() < self.repeated_request_share:
+            self.spawn(self._request_again(Request(method, path, body)))
         return response.status, cbor2.loads(response.body) if response.body else {}
+
+    async def _request_again(self, request):
+        """Deliver copies of a user's request that was answered, at any controllers; nobody hears the answers."""
+        for longest_delay_s in (1.0, 10.0, 60.0):
+            await asyncio.sleep(self.rng.uniform(0.0, longest_delay_s))
+            alive = [name for name, controller in self.nodes.items() if controller.alive]
+            if alive:
+                self.spawn(self.nodes[self.rng.choice(alive)].answer(request))
--- a/tests/standins/simulated_cluster.py
+++ b/tests/standins/simulated_cluster.py
@@ -30,6 +30,8 @@
         late_request_share=0.0,
         lost_answer_share=0.0,
         duplicate_share=0.0,
+        repeated_answer_share=0.0,
+        repeated_request_share=0.0,
         teams=TEAMS,
         guarantee=4.0,
         quota=LIMITS["gpus_max"],
@@ -53,6 +55,8 @@
         self.network_faults = []  # (kind, name, until)
         self.freezes = freezes  # whether random faults include controllers that freeze
         self.duplicate_share = duplicate_share  # of heartbeats that arrive a second time, much later
+        self.repeated_answer_share = repeated_answer_share  # of answers that reach their worker once more
+        self.repeated_request_share = repeated_request_share  # of requests that arrive once more
         # settings of fair admission by node number; None: off
         self.admission = {i: admission for i in range(node_count)}
         self.objectives, self.write_rps = objectives, write_rps
--- a/tests/standins/simulated_controller.py
+++ b/tests/standins/simulated_controller.py
@@ -4,6 +4,7 @@
 import contextvars
 import random
 
+import cbor2
 import msgspec
 
 from passrock.controller.node import Node
@@ -50,6 +51,10 @@
             )
             await asyncio.Event().wait()
         status, answer = await self.service.handle(method, path, body)
+        repeated_share = cluster.repeated_request_share if changes_state and status == 200 else 0.0
+        if repeated_share and rng.random() < repeated_share:
+            delay = rng.choice([0.5, 3.0, 20.0]) * rng.uniform(0.5, 1.5)
+            asyncio.get_running_loop().call_later(delay, self._deliver_again, method, path, body)
         # an open watch gets no answer, as in an outage
         while self.is_store and is_watch and self.process.store_refused:
             await asyncio.sleep(0.2)
@@ -65,6 +70,15 @@
             self.cluster.store.reordered_requests += 1
         self.cluster.spawn(self.service.handle(method, path, body))
 
+    def _deliver_again(self, method, path, body):
+        """Deliver a copy of a request that has been carried out."""
+        self.cluster.spawn(self._handle_copy(method, path, body))
+
+    async def _handle_copy(self, method, path, body):
+        status, _ = await self.service.handle(method, path, body)
+        if self.is_store and path == "/commit" and status == 200:
+            self.cluster.store.repeated_commits.append(cbor2.loads(body))
+
 
 class SimulatedPeerLink:
     """A controller's link to one peer, in place of the link over HTTP."""
@@ -93,6 +107,16 @@
             self.waiting_since = None
             for listener in self.listeners:
                 listener(self.answer)
+        repeated_share = self.cluster.repeated_request_share
+        if repeated_share and self.cluster.rng.random() < repeated_share:
+            delay = self.cluster.rng.choice([0.5, 3.0, 20.0]) * self.cluster.rng.uniform(0.5, 1.5)
+            asyncio.get_running_loop().call_later(delay, self._deliver_again, heartbeat)
+
+    def _deliver_again(self, heartbeat):
+        """Deliver a copy of a heartbeat, also after its sender's process has ended, to the peer's present process."""
+        peer_process = self.cluster.nodes.get(self.peer)
+        if peer_process is not None and peer_process.alive and peer_process.frozen_until <= self.cluster.now():
+            peer_process.context.run(peer_process.node.peers.reply, heartbeat)
 
 
 class SimulatedController:
--- a/tests/standins/state_service.py
+++ b/tests/standins/state_service.py
@@ -20,6 +20,7 @@
         self.max_page_keys = 1000  # a page has no more keys, whatever a request asks for
         self.commits = 0
         self.reordered_requests = 0  # late requests, unanswered and applied after newer ones of the same connection
+        self.repeated_commits = []  # transactions that were applied a second time
         self.txn_ops, self.value_bytes, self.oversized_commits = 12, 4096, 0
 
     def _now(self):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -66,3 +66,9 @@
             if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("passrock.admission"):
                 found.append((path.name, node.module))  # noqa: PERF401 - more readable than four nested clauses
     assert found == []
+
+
+def test_workers_get_commands_only_in_answers_to_their_heartbeats():
+    """Guards against direct commands, copies of which are carried out for as long as token and session match."""
+    found = [path.name for path in SOURCES.rglob("*.py") if re.search(r"/orders|\baddr\b", path.read_text())]
+    assert found == []
