Watches: changes are applied in the order of their revisions, however they are listed

Cause: the interface doesn't define the order of a watch's changes, and its example shows the newer one first. Applied as listed, an older change could bring back a key that a newer one of the same answer had deleted.

Change: the wire sorts them. Test: test_a_watch_may_list_its_changes_in_any_order[True] fails without it.

--- a/src/passrock/wire/store.py
+++ b/src/passrock/wire/store.py
@@ -57,7 +57,7 @@
 
 
 class ChangeBatch(NamedTuple):
-    """All changes between the start revision of a watch and ``revision``."""
+    """All changes between the start revision of a watch and ``revision``, in the order of their revisions."""
 
     changes: list[Change]
     revision: int
@@ -207,4 +207,6 @@
 def parse_changes(body: bytes) -> ChangeBatch:
     """Return the changes that a watch request reports."""
     answer = cbor.decode(body, _WatchAnswer)
-    return ChangeBatch([event.to_change() for event in answer.events], answer.revision)
+    changes = [event.to_change() for event in answer.events]
+    changes.sort(key=lambda change: change.mod_revision)  # the interface does not define their order
+    return ChangeBatch(changes, answer.revision)
--- a/tests/test_repeated_starts.py
+++ b/tests/test_repeated_starts.py
@@ -5,12 +5,21 @@
 
 import pytest
 
+from passrock.controller import keys
 from passrock.core.recent_launches import RecentLaunches
 from standins import virtual_time
 from standins.scenarios import machines_of
 from standins.simulated_cluster import SimulatedCluster
 
 JOB, TASK = "wk-000000", ("wk-000000", 0)
+# What a transaction that is applied a second time may write: no rule depends on it (docs/safety.md, claim 36)
+REPEATABLE_WRITES = (
+    keys.PROVISIONING_INTENT,
+    keys.RESERVATION,
+    keys.RESERVATION_PAGE,
+    keys.IMAGE_HINTS,
+    keys.TASK_PAGE,
+)
 COPY_EVERY_S = 0.1
 COPIES_FOR_S = 30.0  # three leases
 
@@ -259,6 +268,8 @@
     assert starts_that_break_a_rule(cluster) <= {"after_cancellation"}  # starts that were under way are allowed
     assert cluster.checker.starts > 60
     assert cluster.done_users > 50
+    written = {op.get("set", "") for commit in cluster.store.repeated_commits for op in commit["apply"]}
+    assert all(key.startswith(REPEATABLE_WRITES) for key in written - {""})
 
 
 def forget_launches(monkeypatch):
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+import cbor2
 import pytest
 
 from passrock.controller import keys
@@ -32,6 +33,8 @@
         self.requests = []  # paths of the replica's requests, in order
         self.before_request = lambda: None
         self.next_watch_too_old = False
+        self.newest_change_first = False
+        self.is_failing = lambda number: False  # whether a request of this number is answered with 503
 
     def apply(self, *writes):
         self._apply([{"set": key, "v": value} if value is not None else {"drop": key} for key, value in writes])
@@ -48,7 +51,13 @@
         if self.next_watch_too_old and path.startswith("/changes"):
             self.next_watch_too_old = False
             return 410, b""
-        return await self.handle(method, path, body)
+        if self.is_failing(len(self.requests)):
+            return 503, b""
+        status, answer = await self.handle(method, path, body)
+        if self.newest_change_first and path.startswith("/changes"):
+            fields = cbor2.loads(answer)
+            answer = cbor2.dumps({**fields, "events": fields["events"][::-1]})
+        return status, answer
 
 
 def record(running):
@@ -134,6 +143,15 @@
     task.cancel()
 
 
+async def until_loaded(replica):
+    """Run the replica until it is loaded."""
+    task = asyncio.ensure_future(replica.run())
+    while not replica.loaded and not task.done():
+        await asyncio.sleep(0.001)
+    assert not task.done(), task.exception()
+    task.cancel()
+
+
 def requests_of_a_quiet_load():
     async def main():
         store = filled_store()
@@ -183,7 +201,7 @@
         store.commits_before = {gap: [finalized("wk-3")]}
         task = asyncio.ensure_future(replica.run())
         questions = []
-        while not replica.loaded:
+        while not replica.loaded and not task.done():
             lookup = JobLookup(settings, replica.store, replica, CancellationLog(100.0))
             questions.append(asyncio.ensure_future(lookup.find("wk-3")))
             await asyncio.sleep(0.002)
@@ -196,6 +214,43 @@
         assert virtual_time.run(main(gap)) == {CANCELLED}, gap
 
 
+@pytest.mark.parametrize("newest_change_first", [False, True])
+def test_a_watch_may_list_its_changes_in_any_order(newest_change_first):
+    """Guards against a deleted key that an older change of the same answer brings back."""
+
+    async def main():
+        store = filled_store()
+        store.newest_change_first = newest_change_first
+        replica = new_replica(store)
+        check_states(store, replica)
+        store.commits_before = {
+            3: [*TRANSACTIONS["submitted, then finalized"], *TRANSACTIONS["made, then deleted"]],
+            15: [
+                *TRANSACTIONS["submitted, then cancelled"],
+                finalized("wk-9"),
+                *TRANSACTIONS["deleted, then made again"],
+            ],
+        }
+        await load(store, replica)
+
+    virtual_time.run(main())
+
+
+def test_a_load_goes_on_after_failed_requests():
+    """Guards against a load that begins again after each failure, so that a large one never ends."""
+
+    async def main():
+        store = filled_store()
+        store.is_failing = lambda number: number % 3 != 0  # two of three requests fail
+        replica = new_replica(store)
+        check_states(store, replica)
+        store.commits_before = {4: [cancelled("wk-3")], 20: [finalized("wk-3")]}
+        await until_loaded(replica)
+        return len(store.requests)
+
+    assert virtual_time.run(main()) <= 3 * (requests_of_a_quiet_load() + 2)
+
+
 def test_a_load_ends_while_the_store_is_written_at_its_full_rate():
     """Guards against a load that tries again until no commit falls between its reads."""
 
@@ -210,10 +265,7 @@
         store.commits_before = {
             number: [[(keys.job(f"wk-1{n:05d}"), record(running=False))] for n in range(150)] for number in range(100)
         }
-        task = asyncio.ensure_future(replica.run())
-        while not replica.loaded:
-            await asyncio.sleep(0.001)
-        task.cancel()
+        await until_loaded(replica)
         return len(store.requests), page_count
 
     request_count, page_count = virtual_time.run(main())
