Stand-ins: a store that forgets half a revision, and machines that freeze with a controller

Both are faults of the stand-ins, not of the service.

Change: a watch from before the last dropped change gets 410; machines boot outside of the context of the request.

--- a/tests/standins/cloud_service.py
+++ b/tests/standins/cloud_service.py
@@ -1,6 +1,7 @@
 """Stand-in for the cloud, written from the interface's description."""
 
 import asyncio
+import contextvars
 from urllib.parse import parse_qs, urlsplit
 
 import cbor2
@@ -38,7 +39,8 @@
         if boot_s is None:
             boot_s = self.machine_types[type_name]["bootS"] * self.rng.uniform(0.6, 1.5)
         if self.rng.random() >= self.boot_failure_share:
-            asyncio.get_running_loop().call_later(boot_s, self._finish_boot, name)
+            # not in the context of the controller whose request this is: its freeze does not stop the machine
+            asyncio.get_running_loop().call_later(boot_s, self._finish_boot, name, context=contextvars.Context())
         return name
 
     def _finish_boot(self, name):
--- a/tests/standins/simulated_cluster.py
+++ b/tests/standins/simulated_cluster.py
@@ -41,6 +41,8 @@
         admission=None,
         objectives=(),
         write_rps=40.0,
+        retained_changes=10_000,
+        max_page_keys=1000,
     ):
         self.rng = random.Random(seed)
         self.zones = zones
@@ -65,6 +67,7 @@
         self.store_delay_s = 0.0  # added to each request to the key-value store
         self.checker = Checker(self)
         self.store = KeyValueStoreService()
+        self.store.retained_events, self.store.max_page_keys = retained_changes, max_page_keys
         machine_types = {"box": dict(MACHINE_TYPE, branches=list(zones))}
         capacity_by_kind = {("box", zone, spot): capacity[spot] for zone in zones for spot in (True, False)}
         self.cloud = CloudService(
--- a/tests/standins/state_service.py
+++ b/tests/standins/state_service.py
@@ -16,7 +16,8 @@
         self.next_lease = 1
         self.changed = asyncio.Event()
         self.outage = False
-        self.retained_events = 10_000  # a watch from an older revision is answered with 410
+        self.retained_events = 10_000
+        self.compacted_revision = 0  # of the last change that is no longer kept; a watch from before it gets 410
         self.max_page_keys = 1000  # a page has no more keys, whatever a request asks for
         self.commits = 0
         self.reordered_requests = 0  # late requests, unanswered and applied after newer ones of the same connection
@@ -34,7 +35,10 @@
                 self.events.append((self.revision, {"set": op["set"], "v": op["v"], "stamp": self.revision}))
             elif self.data.pop(op["drop"], None) is not None:
                 self.events.append((self.revision, {"drop": op["drop"], "stamp": self.revision}))
-        del self.events[: -self.retained_events]
+        excess = len(self.events) - self.retained_events
+        if excess > 0:
+            self.compacted_revision = self.events[excess - 1][0]
+            del self.events[:excess]
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -137,7 +141,7 @@
         end = self._now() + int(query.get("holdMs", ["0"])[0]) / 1000
         while True:
             if not self.outage:
-                if self.events and after < self.events[0][0] - 1 and len(self.events) >= self.retained_events:
+                if after < self.compacted_revision:
                     return 410, b""
                 events = [
                     e
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -41,7 +41,9 @@
         (seed, {"duplicate_share": 0.1, "late_request_share": 0.03, "lost_answer_share": 0.03})
         for seed in range(70, 76)
     ]
-    + [(seed, {"freezes": True, "late_request_share": 0.03, "duplicate_share": 0.05}) for seed in range(90, 96)],
+    + [(seed, {"freezes": True, "late_request_share": 0.03, "duplicate_share": 0.05}) for seed in range(90, 96)]
+    # watches that took a moment too long are answered with 410, and replicas are loaded again from many pages
+    + [(seed, {"retained_changes": 3, "max_page_keys": 3, "duplicate_share": 0.1}) for seed in range(130, 134)],
 )
 def test_rules_hold_under_random_faults(seed, options):
     checker, done = simulate(seed, **options)
