Reconciler: the commands about single attempts become a module of their own

Change: building of commands and the conditions for them move to core/worker_commands, the key of an attempt is a type.

--- a/src/passrock/core/recent_launches.py
+++ b/src/passrock/core/recent_launches.py
@@ -5,12 +5,20 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from passrock.core.interface_times import CLOCK_DRIFT_RATIO, WORKER_REQUEST_TIMEOUT_S
 
 # From the answer that carries a command until its worker drops every copy of that answer, by any clock.
 ANSWER_LIFETIME_S = WORKER_REQUEST_TIMEOUT_S * CLOCK_DRIFT_RATIO
 
-AttemptKey = tuple[str, int, int]  # job id, index of the task, number of the attempt
+
+class AttemptKey(msgspec.Struct, frozen=True):
+    """Identifies an attempt on one machine."""
+
+    job: str
+    index: int
+    number: int
 
 
 class RecentLaunches:
--- a/src/passrock/core/reconciler.py
+++ b/src/passrock/core/reconciler.py
@@ -10,8 +10,9 @@
 from passrock.core.machine import Machine
 from passrock.core.messages import Command, CommandKind, ExitReason, TaskState, TaskStatus, WorkerHeartbeat
 from passrock.core.model import ZERO_RESOURCES, Resources
-from passrock.core.recent_launches import ANSWER_LIFETIME_S
+from passrock.core.recent_launches import ANSWER_LIFETIME_S, AttemptKey
 from passrock.core.task_exits import record_exit
+from passrock.core.worker_commands import can_restart_in_place, command_for, launch, must_not_launch, stop_command
 
 
 class TaskExit(msgspec.Struct, frozen=True):
@@ -80,10 +81,10 @@
                 and attempt.stop_grace_s is None
                 and attempt.incarnation == heartbeat.incarnation
                 and now >= attempt.launch_not_before
-                and not _must_not_launch(attempt, machine)
+                and not must_not_launch(attempt, machine)
                 and attempt.is_committed
             ):
-                commands.append(_launch(attempt, machine, heartbeat, now))
+                commands.append(launch(attempt, machine, heartbeat, now))
         return commands
 
     # -- tasks that the heartbeat lists -----------------------------------------------------
@@ -116,13 +117,13 @@
                 self._update_state(attempt, task, context, result)
                 if task.state is TaskState.FETCHING:
                     fetching[attempt.job.spec.image] = attempt.job.spec.image_gb
-                stop = _stop_command(attempt, task)
+                stop = stop_command(attempt, task)
                 if stop is not None:
                     result.commands.append(stop)
             else:
                 job = self.job_table.jobs.get(task.job)
                 orphans[(task.job, task.index)] = ZERO_RESOURCES if job is None else job.spec.resources
-                result.commands.append(_command(CommandKind.STOP, task))
+                result.commands.append(command_for(CommandKind.STOP, task))
         machine.orphans = orphans
         return fetching
 
@@ -179,7 +180,7 @@
         proves_absence = context.is_current_term and (
             attempt.launch_sequence is None or heartbeat.sequence > attempt.launch_sequence
         )
-        must_not_run = attempt.stop_grace_s is not None or _must_not_launch(attempt, context.machine)
+        must_not_run = attempt.stop_grace_s is not None or must_not_launch(attempt, context.machine)
         if proves_absence and (must_not_run or attempt.reported):
             self._record_loss(attempt, context, result)
             return False
@@ -187,7 +188,7 @@
             return False
         if context.now < attempt.launch_not_before:
             return False
-        result.commands.append(_launch(attempt, context.machine, heartbeat, context.now))
+        result.commands.append(launch(attempt, context.machine, heartbeat, context.now))
         return proves_absence and launch_sent
 
     def _record_loss(self, attempt: TaskAttempt, context: _HeartbeatContext, result: ReconciliationResult) -> None:
@@ -205,7 +206,7 @@
             # wait for the gang timed out. Only completion is final no matter when its heartbeat arrives.
             if not context.is_current_term and task.exit_reason is not ExitReason.COMPLETED:
                 return
-            if context.may_launch and _can_restart_in_place(attempt, task):
+            if context.may_launch and can_restart_in_place(attempt, task):
                 self._prepare_restart_in_place(attempt, task, context, result)
                 return
             result.changed = True
@@ -219,9 +220,9 @@
 
         Until then the worker has to keep the task: it would take a copy of the launch for a new one.
         """
-        attempt_key = (task.job, task.index, task.attempt_number)
+        attempt_key = AttemptKey(task.job, task.index, task.attempt_number)
         if not context.machine.recent_launches.may_repeat(attempt_key, context.now):
-            result.commands.append(_command(CommandKind.ACKNOWLEDGE_EXIT, task))
+            result.commands.append(command_for(CommandKind.ACKNOWLEDGE_EXIT, task))
 
     def _prepare_restart_in_place(
         self, attempt: TaskAttempt, task: TaskStatus, context: _HeartbeatContext, result: ReconciliationResult
@@ -236,48 +237,3 @@
         attempt.reported = False
         attempt.state = None
         self._acknowledge_exit(task, context, result)
-
-
-def _command(kind: CommandKind, task: TaskStatus, grace_s: float = 0.0) -> Command:
-    return Command(kind, task.job, task.index, task.attempt_number, grace_s)
-
-
-def _launch(attempt: TaskAttempt, machine: Machine, heartbeat: WorkerHeartbeat, now: float) -> Command:
-    """Return the command to start an attempt, and record that the answer to this heartbeat carries it."""
-    attempt.launch_sequence = heartbeat.sequence
-    machine.recent_launches.record((attempt.job.spec.id, attempt.index, attempt.number), now)
-    return Command(CommandKind.START, attempt.job.spec.id, attempt.index, attempt.number)
-
-
-def _must_not_launch(attempt: TaskAttempt, machine: Machine) -> bool:
-    """Whether the attempt must not be launched: its job is cancelled, or its machine will be reclaimed or deleted."""
-    return attempt.job.cancelled or machine.reclaim_at is not None or machine.deleting
-
-
-def _stop_command(attempt: TaskAttempt, task: TaskStatus) -> Command | None:
-    """Return the command to stop a listed attempt, or None when it need not stop or is saving a checkpoint.
-
-    A second stop command would interrupt the saving.
-    """
-    if attempt.job.cancelled:
-        attempt.stop_grace_s = 0.0
-    if attempt.stop_grace_s is None or (task.state is TaskState.SAVING and attempt.stop_grace_s > 0):
-        return None
-    return _command(CommandKind.STOP, task, attempt.stop_grace_s)
-
-
-def _can_restart_in_place(attempt: TaskAttempt, task: TaskStatus) -> bool:
-    """Whether a gang member whose wait for the gang timed out may restart on its machine, as others still fetch.
-
-    Members of a gang take very different times to fetch large images. When the whole gang was stopped at each
-    member's time-out, it fetched and waited again and again.
-    """
-    if (
-        task.exit_reason is not ExitReason.GANG_INCOMPLETE
-        or attempt.stop_grace_s is not None
-        or attempt.job.cancelled
-    ):
-        return False
-    members = list(attempt.job.attempts())
-    started = any(member.running_since is not None for member in members)
-    return not started and len(members) == attempt.job.spec.task_count
