--- a/src/passrock/controller/replica.py
+++ b/src/passrock/controller/replica.py
@@ -114,7 +114,7 @@
         for key in previous:
             if key not in entries:
                 self._notify_listeners(key, None)
-        for key, entry in list(entries.items()):
+        for key, entry in entries.items():
             known = previous.get(key)
             if known is None or known.mod_revision != entry.mod_revision:
                 self._notify_listeners(key, entry)
--- a/src/passrock/controller/snapshot_reader.py
+++ b/src/passrock/controller/snapshot_reader.py
@@ -46,7 +46,7 @@
         self._entries: dict[str, Entry] = {}
         self._unread_prefixes = list(prefixes)
         self._last_key = ""  # of the first unread prefix, the last key that has been read
-        self._applied_revision: int | None = None  # up to which the entries that have been read include all changes
+        self._applied_revision = 0  # up to which the entries that have been read include all changes
         self._newest_page_revision = 0
         self._read_started_at = NEVER
         self._page_count = 0
@@ -66,20 +66,20 @@
         while self._unapplied_revisions() > 0:
             await self._apply_changes()
         return Snapshot(
-            self._entries, self._applied_revision or 0, self._read_started_at, self._page_count, self._watch_count
+            self._entries, self._applied_revision, self._read_started_at, self._page_count, self._watch_count
         )
 
     def _unapplied_revisions(self) -> int:
-        return self._newest_page_revision - (self._applied_revision or 0)
+        return self._newest_page_revision - self._applied_revision
 
     async def _read_page(self, prefix: str) -> None:
         started_at = monotonic_time()
         page = await self._store.list_page(prefix, self._last_key)
         self._read_started_at = started_at
+        if self._page_count == 0:
+            self._applied_revision = page.revision
         self._page_count += 1
         self._newest_page_revision = max(self._newest_page_revision, page.revision)
-        if self._applied_revision is None:
-            self._applied_revision = page.revision
         self._entries.update((entry.key, entry) for entry in page.entries)
         if page.truncated and page.entries:
             self._last_key = page.entries[-1].key
@@ -90,7 +90,7 @@
     async def _apply_changes(self) -> None:
         """Apply all changes since ``_applied_revision``, those of keys that are still unread included."""
         started_at = monotonic_time()
-        changes, revision = await self._store.watch(keys.ROOT, self._applied_revision or 0, wait_ms=0)
+        changes, revision = await self._store.watch(keys.ROOT, self._applied_revision, wait_ms=0)
         self._read_started_at = started_at
         self._watch_count += 1
         for change in changes:
--- a/src/passrock/core/reconciler.py
+++ b/src/passrock/core/reconciler.py
@@ -184,9 +184,8 @@
         if proves_absence and (must_not_run or attempt.reported):
             self._record_loss(attempt, context, result)
             return False
-        if must_not_run or not context.may_launch or not attempt.is_committed:
-            return False
-        if context.now < attempt.launch_not_before:
+        may_launch = context.may_launch and context.now >= attempt.launch_not_before
+        if must_not_run or not may_launch or not attempt.is_committed:
             return False
         result.commands.append(launch(attempt, context.machine, heartbeat, context.now))
         return proves_absence and launch_sent
--- a/tests/standins/network.py
+++ b/tests/standins/network.py
@@ -80,6 +80,12 @@
             delay = self.rng.choice([0.4, 1.5, 2.5, 2.0 * self.limits["lease_s"]]) * self.rng.uniform(0.5, 1.5)
             asyncio.get_running_loop().call_later(delay, worker.receive_copy, answer)
 
+    def repeat_some(self, deliver, *arguments):
+        """Call ``deliver`` up to half a minute later, for the share of requests that arrive once more."""
+        if self.repeated_request_share and self.rng.random() < self.repeated_request_share:
+            delay = self.rng.choice([0.5, 3.0, 20.0]) * self.rng.uniform(0.5, 1.5)
+            asyncio.get_running_loop().call_later(delay, deliver, *arguments)
+
     def deliver_late_heartbeat(self, name, body):
         if name in self.nodes and self.nodes[name].alive:
             self.spawn(self.nodes[name].answer(Request("POST", "/checkin", body)))
--- a/tests/standins/simulated_controller.py
+++ b/tests/standins/simulated_controller.py
@@ -51,10 +51,8 @@
             )
             await asyncio.Event().wait()
         status, answer = await self.service.handle(method, path, body)
-        repeated_share = cluster.repeated_request_share if changes_state and status == 200 else 0.0
-        if repeated_share and rng.random() < repeated_share:
-            delay = rng.choice([0.5, 3.0, 20.0]) * rng.uniform(0.5, 1.5)
-            asyncio.get_running_loop().call_later(delay, self._deliver_again, method, path, body)
+        if changes_state and status == 200:
+            cluster.repeat_some(self._deliver_again, method, path, body)
         # an open watch gets no answer, as in an outage
         while self.is_store and is_watch and self.process.store_refused:
             await asyncio.sleep(0.2)
@@ -107,10 +105,7 @@
             self.waiting_since = None
             for listener in self.listeners:
                 listener(self.answer)
-        repeated_share = self.cluster.repeated_request_share
-        if repeated_share and self.cluster.rng.random() < repeated_share:
-            delay = self.cluster.rng.choice([0.5, 3.0, 20.0]) * self.cluster.rng.uniform(0.5, 1.5)
-            asyncio.get_running_loop().call_later(delay, self._deliver_again, heartbeat)
+        self.cluster.repeat_some(self._deliver_again, heartbeat)
 
     def _deliver_again(self, heartbeat):
         """Deliver a copy of a heartbeat, also after its sender's process has ended, to the peer's present process."""
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -104,8 +104,7 @@
 
 
 def new_replica(store):
-    client = KeyValueStoreClient(store, store, TokenBucket(math.inf, math.inf), TokenBucket(math.inf, math.inf))
-    client.request_bucket.rate = 1e6
+    client = KeyValueStoreClient(store, store, TokenBucket(1e6, 1e6), TokenBucket(1e6, 1e6))
     return Replica(client, max_final_statuses=100)
 
 
