Gangs with spread: the placement asks for the limit of each zone

Cause: GangPlacement took the cheapest machines with room. Only arrays and services asked ZoneConstraint, so the order of costs decided whether a gang was spread. Change: gangs and single tasks take candidates by one function, pop_cheapest_allowed, which asks the constraint. It is exact: the tasks of a gang are alike, so each zone gives the smaller of its room and its limit. Results that a pass remembers are kept apart for gangs with and without spread; in the order of sizes they stay valid (GangShape).

--- a/src/passrock/core/gang_placement.py
+++ b/src/passrock/core/gang_placement.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from heapq import heappop
 from typing import NamedTuple
 
 from passrock.core.free_capacity import FreeCapacity
@@ -10,10 +9,11 @@
 from passrock.core.job_table import JobTable
 from passrock.core.machine import Machine
 from passrock.core.machine_holds import MachineHolds
-from passrock.core.machine_scoring import MachineScorer
+from passrock.core.machine_scoring import MachineScorer, pop_cheapest_allowed
 from passrock.core.placement_shapes import GangShape
 from passrock.core.quota import TeamQuotas
 from passrock.core.starvation_holds import StarvationHolds
+from passrock.core.zone_constraint import ZoneConstraint
 
 
 class GangOption(NamedTuple):
@@ -79,9 +79,14 @@
         spec = job.spec
         machines: list[Machine] = []
         longest_fetch = total_cost = 0.0
+        zones = ZoneConstraint.of(job, self.capacity.inventory)
         heap = self.scorer.candidate_heap(job, zone, now)
-        while heap and len(machines) < spec.task_count:
-            cost, _, machine = heappop(heap)
+        while len(machines) < spec.task_count:
+            candidate = pop_cheapest_allowed(heap, zones)
+            if candidate is None:
+                break
+            cost, _, machine = candidate
+            zones.add(machine.zone)
             longest_fetch = max(longest_fetch, machine.image_fetch_time_s(spec))
             total_cost += cost
             self.capacity.allocate(machine, spec.resources)
--- a/src/passrock/core/machine_scoring.py
+++ b/src/passrock/core/machine_scoring.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from heapq import heapify, heappush
+from heapq import heapify, heappop, heappush
 
 from passrock.core.deferral import DeferralTracker
 from passrock.core.free_capacity import FreeCapacity
@@ -12,6 +12,7 @@
 from passrock.core.machine_holds import MachineHolds
 from passrock.core.model import JobKind
 from passrock.core.objectives import RUN_TIME_MARGIN_RATIO, ServiceLevelObjectives
+from passrock.core.zone_constraint import ZoneConstraint
 
 # Costs are in seconds, so that they can be compared with the time to fetch an image.
 FREE_SHARE_COST_S = 15.0  # times the share of the machine that stays free, for bin packing
@@ -114,3 +115,15 @@
         """Put a machine back on the heap after a task was placed on it, if another task of the job fits."""
         if job.spec.resources.fits(self.capacity.free_on(machine)):
             heappush(heap, (self.cost(job, machine), machine.name, machine))
+
+
+def pop_cheapest_allowed(heap: list[Candidate], zones: ZoneConstraint) -> Candidate | None:
+    """Pop and return the cheapest candidate in a zone that may take another task; None if there is none.
+
+    Cheaper candidates in other zones are dropped: a zone that may take no task now won't in this pass.
+    """
+    while heap:
+        candidate = heappop(heap)
+        if zones.allows(candidate[2].zone):
+            return candidate
+    return None
--- a/src/passrock/core/placement_shapes.py
+++ b/src/passrock/core/placement_shapes.py
@@ -23,15 +23,23 @@
 
 
 class GangShape(NamedTuple):
-    """The properties of a gang that decide, together with its number of tasks, where it fits."""
+    """The properties of a gang that decide, together with its number of tasks, where it fits.
+
+    If a gang is unschedulable, so are all larger gangs of its shape, also if they have to be spread over zones: a
+    zone may take one more task of a larger gang, but if two zones had the capacity for that, the smaller gang would
+    have fit into these two.
+    """
 
     resources: Resources
     machine_types: tuple[str, ...] | None
     zone: str | None
     allows_spot: bool
     single_zone: bool
+    spread_zones: bool
 
     @classmethod
     def of(cls, spec: JobSpec) -> GangShape:
         """Return the shape of a gang."""
-        return cls(spec.resources, spec.machine_types, spec.zone, spec.allows_spot, spec.single_zone)
+        return cls(
+            spec.resources, spec.machine_types, spec.zone, spec.allows_spot, spec.single_zone, spec.spread_zones
+        )
--- a/src/passrock/core/task_placement.py
+++ b/src/passrock/core/task_placement.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-from heapq import heappop
 
 from passrock.core.free_capacity import FreeCapacity
 from passrock.core.job import Job, TaskAttempt
 from passrock.core.job_table import JobTable
+from passrock.core.machine import Machine
 from passrock.core.machine_holds import MachineHolds
-from passrock.core.machine_scoring import Candidate, MachineScorer
+from passrock.core.machine_scoring import MachineScorer, pop_cheapest_allowed
 from passrock.core.placement_shapes import TaskShape
 from passrock.core.quota import TeamQuotas
 from passrock.core.zone_constraint import ZoneConstraint
@@ -70,31 +70,19 @@
                 continue
             if not self.quotas.allows(job, 1):
                 break
-            _drop_forbidden_zones(heap, zones)
-            if not heap:
+            candidate = pop_cheapest_allowed(heap, zones)
+            if candidate is None:
                 if represents_shape and not zones.counts:
                     self._unschedulable_shapes[shape] = spec.estimated_run_s
                 break
-            started.append(self._start_on_cheapest(job, index, heap, zones, now))
+            _, _, machine = candidate
+            zones.add(machine.zone)
+            started.append(self._start_on(machine, job, index, now))
+            self.scorer.push_back(heap, job, machine)
         self.truncated = self.truncated or len(started) == MAX_TASKS_PER_PASS
         job.advance_first_waiting_index()
         return started
 
-    def _start_on_cheapest(
-        self, job: Job, index: int, heap: list[Candidate], zones: ZoneConstraint, now: float
-    ) -> TaskAttempt:
-        _, _, machine = heappop(heap)
+    def _start_on(self, machine: Machine, job: Job, index: int, now: float) -> TaskAttempt:
         self.capacity.allocate(machine, job.spec.resources)
-        zones.add(machine.zone)
-        attempt = self.job_table.add_attempt(job, index, machine, job.next_attempt_number(index), now)
-        self.scorer.push_back(heap, job, machine)
-        return attempt
-
-
-def _drop_forbidden_zones(heap: list[Candidate], zones: ZoneConstraint) -> None:
-    """Pop machines until the cheapest machine is in a zone that may take another task."""
-    while heap:
-        _, _, cheapest = heap[0]
-        if zones.allows(cheapest.zone):
-            return
-        heappop(heap)
+        return self.job_table.add_attempt(job, index, machine, job.next_attempt_number(index), now)
