Holds: machines are held for a gang with spread only where its tasks may go

What callers saw: other jobs waited beside machines that were kept free for a gang that could not use them. Cause: StarvationHolds took the machines that are free first, without the limit of each zone; for a service that fair admission has prioritized it took one in the zone that may take no further task. Change: the choice asks ZoneConstraint (`select`, which preemption plans use as well). Which zones to try follows from the constraint in one place, FreeCapacity.zones_to_try, for placement, holds, deferral and preemption. Deferral now remembers the result for gangs with spread, too, as it is valid in the order of sizes.

--- a/src/passrock/core/deferral.py
+++ b/src/passrock/core/deferral.py
@@ -163,21 +163,20 @@
         unschedulable_size = self._unschedulable_gangs.get(shape)
         if unschedulable_size is not None and spec.task_count >= unschedulable_size:
             return False
-        if any(self._has_capacity_for_gang_in(zone, spec) for zone in self.capacity.zones_to_try(spec)):
+        zones = ZoneConstraint(spec, {})
+        if any(self._has_capacity_for_gang_in(zone, zones.copy()) for zone in self.capacity.zones_to_try(zones)):
             return True
-        if not spec.spread_zones:  # a gang that has to be spread may not fit where others of its shape do
-            self._unschedulable_gangs[shape] = spec.task_count
+        self._unschedulable_gangs[shape] = spec.task_count
         return False
 
-    def _has_capacity_for_gang_in(self, zone: str | None, spec: JobSpec) -> bool:
-        zones = ZoneConstraint(spec, {})
-        missing = spec.task_count
+    def _has_capacity_for_gang_in(self, zone: str | None, zones: ZoneConstraint) -> bool:
+        missing = zones.spec.task_count
         for machine in self.capacity.with_capacity:
             if zone in (None, machine.zone):
-                for _ in range(self._task_count(spec, machine, limit=missing)):
-                    if zones.allows(machine.zone):
-                        zones.add(machine.zone)
-                        missing -= 1
+                limit = min(missing, zones.remaining(machine.zone))
+                count = self._task_count(zones.spec, machine, limit=limit)
+                zones.add(machine.zone, count)
+                missing -= count
         return missing == 0
 
     def _task_count(self, spec: JobSpec, machine: Machine, *, limit: int) -> int:
--- a/src/passrock/core/free_capacity.py
+++ b/src/passrock/core/free_capacity.py
@@ -7,6 +7,7 @@
 from passrock.core.machine import Machine
 from passrock.core.model import JobSpec, MachineType, Resources
 from passrock.core.objectives import image_fetch_time_s
+from passrock.core.zone_constraint import ZoneConstraint
 
 
 class FreeCapacity:
@@ -70,9 +71,11 @@
         """Undo a tentative allocation."""
         self._free[machine.name] = self.free_on(machine) + resources
 
-    def zones_to_try(self, spec: JobSpec) -> list[str | None]:
-        """Return the zones to try for a job without attempts; None stands for all zones together."""
-        return list(self.zones) if spec.single_zone else [None]
+    def zones_to_try(self, zones: ZoneConstraint) -> list[str | None]:
+        """Return the zones to try one by one for a job; None stands for all zones together."""
+        if zones.required_zone is not None:
+            return [zones.required_zone]
+        return list(self.zones) if zones.spec.single_zone else [None]
 
     def longest_image_fetch_s(self, spec: JobSpec) -> float:
         """Return the seconds to fetch the job's image on the slowest type of the schedulable machines."""
--- a/src/passrock/core/gang_placement.py
+++ b/src/passrock/core/gang_placement.py
@@ -68,18 +68,18 @@
 
     def _cheapest_option(self, job: Job, now: float) -> GangOption | None:
         best: GangOption | None = None
-        for zone in self.capacity.zones_to_try(job.spec):
-            option = self._option_in(zone, job, now)
+        zones = ZoneConstraint.of(job, self.capacity.inventory)
+        for zone in self.capacity.zones_to_try(zones):
+            option = self._option_in(zone, zones.copy(), job, now)
             if option is not None and (best is None or option.cost_s < best.cost_s):
                 best = option
         return best
 
-    def _option_in(self, zone: str | None, job: Job, now: float) -> GangOption | None:
+    def _option_in(self, zone: str | None, zones: ZoneConstraint, job: Job, now: float) -> GangOption | None:
         """Return the cheapest machines in a zone; the gang starts once the slowest of them has the image."""
         spec = job.spec
         machines: list[Machine] = []
         longest_fetch = total_cost = 0.0
-        zones = ZoneConstraint.of(job, self.capacity.inventory)
         heap = self.scorer.candidate_heap(job, zone, now)
         while len(machines) < spec.task_count:
             candidate = pop_cheapest_allowed(heap, zones)
--- a/src/passrock/core/preemption_planner.py
+++ b/src/passrock/core/preemption_planner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 
 import msgspec
 
@@ -88,8 +87,8 @@
         if wanted == 0:
             return best
         is_gang = job.spec.kind is JobKind.GANG
-        zones = ZoneConstraint(job.spec, {}) if is_gang else ZoneConstraint.of(job, self.inventory)
-        for zone in self._zones_to_try(job, zones):
+        zones = ZoneConstraint.of(job, self.inventory)
+        for zone in self.capacity.zones_to_try(zones):
             options = self._options(job, zone, now, max_image_fetch_s=max_image_fetch_s, elastic_only=elastic_only)
             plan = _cheapest_plan(options, wanted, zones.copy())
             suffices = len(plan.entries) == wanted if is_gang else bool(plan.entries)
@@ -106,10 +105,6 @@
             count -= 1
         return count
 
-    def _zones_to_try(self, job: Job, zones: ZoneConstraint) -> Iterable[str | None]:
-        required_zone = zones.required_zone
-        return self.capacity.zones_to_try(job.spec) if required_zone is None else [required_zone]
-
     def _options(
         self, job: Job, zone: str | None, now: float, *, max_image_fetch_s: float, elastic_only: bool
     ) -> list[PlannedMachine]:
@@ -181,14 +176,5 @@
 
 def _cheapest_plan(options: list[PlannedMachine], wanted: int, zones: ZoneConstraint) -> PreemptionPlan:
     """Return a plan with the first ``wanted`` options that the zone constraint allows, or all if they are fewer."""
-    entries: list[PlannedMachine] = []
-    total_cost = 0.0
-    for option in options:
-        if len(entries) == wanted:
-            break
-        if not zones.allows(option.machine.zone):
-            continue
-        zones.add(option.machine.zone)
-        total_cost += option.cost_s
-        entries.append(option)
-    return PreemptionPlan(entries, total_cost)
+    entries = zones.select(options, wanted)
+    return PreemptionPlan(entries, sum(entry.cost_s for entry in entries))
--- a/src/passrock/core/starvation_holds.py
+++ b/src/passrock/core/starvation_holds.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from heapq import nsmallest
 from itertools import chain
 
 import msgspec
@@ -16,6 +15,7 @@
 from passrock.core.model import JobKind, JobSpec, MachineType, Resources
 from passrock.core.objectives import ServiceLevelObjectives
 from passrock.core.quota import TeamQuotas
+from passrock.core.zone_constraint import ZoneConstraint
 
 HOLD_STOP_LATENCIES = 2  # a hold expires after this many stop latencies, unless it is renewed
 HELD_BONUS_STOP_LATENCIES = 5  # deducted from the wait in a zone for each of its machines that is already held
@@ -101,9 +101,10 @@
         """Return the machines to hold, by their wait, in the best of the zones to try; none if all have too few."""
         best_score: float | None = None
         best: list[HoldCandidate] = []
-        for zone in self.capacity.zones_to_try(job.spec):
+        zones = ZoneConstraint.of(job, self.capacity.inventory)
+        for zone in self.capacity.zones_to_try(zones):
             candidates = self._candidates(job, wanted, zone, held_already, now)
-            chosen = nsmallest(wanted, candidates, key=HoldCandidate.sort_key)
+            chosen = zones.copy().select(sorted(candidates, key=HoldCandidate.sort_key), wanted)
             if len(chosen) < wanted:
                 continue
             held_count = len({candidate.machine.name for candidate in chosen if candidate.held_already})
--- a/src/passrock/core/zone_constraint.py
+++ b/src/passrock/core/zone_constraint.py
@@ -2,11 +2,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import Protocol, TypeVar
+
 from passrock.core.inventory import MachineInventory
 from passrock.core.job import UNKNOWN_ZONE, Job
+from passrock.core.machine import Machine
 from passrock.core.model import JobSpec
 
 
+class MachineChoice(Protocol):
+    """A machine that was considered for one task of a job."""
+
+    @property
+    def machine(self) -> Machine:
+        """The machine."""
+
+
+ChoiceT = TypeVar("ChoiceT", bound=MachineChoice)
+
+
 class ZoneConstraint:
     """The job's tasks by zone, counted only if the job is restricted to a single zone or spread over zones."""
 
@@ -33,13 +48,30 @@
         """The zone of the present tasks if the job is restricted to a single zone; None if any zone may be used."""
         return next(iter(self.counts)) if self.spec.single_zone and self.counts else None
 
+    def remaining(self, zone: str) -> int:
+        """Return how many further tasks may be placed in the zone; all of the job's if the zone has no limit."""
+        if self.spec.single_zone and self.counts and zone not in self.counts:
+            return 0
+        if not self.spec.spread_zones:
+            return self.spec.task_count
+        return max(0, self.spec.max_tasks_per_zone() - self.counts.get(zone, 0))
+
     def allows(self, zone: str) -> bool:
         """Whether another task may be placed in the zone."""
-        if self.spec.spread_zones and self.counts.get(zone, 0) >= self.spec.max_tasks_per_zone():
-            return False
-        return not (self.spec.single_zone and self.counts and zone not in self.counts)
-
-    def add(self, zone: str) -> None:
-        """Count another task in the zone."""
-        if self.spec.single_zone or self.spec.spread_zones:
-            self.counts[zone] = self.counts.get(zone, 0) + 1
+        return self.remaining(zone) > 0
+
+    def add(self, zone: str, count: int = 1) -> None:
+        """Count further tasks in the zone."""
+        if count and (self.spec.single_zone or self.spec.spread_zones):
+            self.counts[zone] = self.counts.get(zone, 0) + count
+
+    def select(self, choices: Iterable[ChoiceT], limit: int) -> list[ChoiceT]:
+        """Return the first ``limit`` choices in zones that may take them, fewer if there are too few; count them."""
+        selected: list[ChoiceT] = []
+        for choice in choices:
+            if len(selected) == limit:
+                break
+            if self.allows(choice.machine.zone):
+                self.add(choice.machine.zone)
+                selected.append(choice)
+        return selected
--- a/tests/test_starvation_holds.py
+++ b/tests/test_starvation_holds.py
@@ -3,12 +3,14 @@
 import itertools
 import math
 import random
+from collections import Counter
 
 import pytest
 
 from builders import BOX, SchedulerHarness
 from passrock.core.deferral import SCHEDULABLE_WAIT_LIMIT_S
 from passrock.core.model import JobKind, Priority, Resources, Team
+from passrock.core.starvation_holds import HOLD_STOP_LATENCIES
 
 WHOLE_MACHINE = Resources(10, 2, 50)
 GANG = {"kind": JobKind.GANG, "task_count": 4, "resources": WHOLE_MACHINE, "priority": Priority.HIGH}
@@ -65,6 +67,17 @@
         [*on_demand(3), ("s1", "a", True), ("s2", "a", True)], with_nothing_else, {}, id="the rest are spot instances"
     ),
     pytest.param(on_demand(3), with_machine_that_never_boots, {}, id="a machine is rented and never reports"),
+    # Regression: with `spread`, machines were held that the gang could not use, as its limit was not asked.
+    pytest.param(on_demand(4), with_nothing_else, {"spread_zones": True}, id="spread, and one zone has all machines"),
+    pytest.param(
+        on_demand(3) + on_demand(1, "b"), with_nothing_else, {"spread_zones": True}, id="spread, and a small zone"
+    ),
+    pytest.param(
+        on_demand(2) + on_demand(3, "b"),
+        with_long_production_work,
+        {"spread_zones": True},
+        id="spread, and production work in the small zone",
+    ),
 ]
 
 
@@ -89,6 +102,15 @@
         {"resources": Resources(5, 1, 20)},
         id="two of the gang's tasks fit on each machine",
     ),
+    pytest.param(
+        on_demand(2) + on_demand(2, "b"),
+        with_short_production_work,
+        {"spread_zones": True},
+        id="spread, and a task is about to end",
+    ),
+    pytest.param(
+        on_demand(2, "b") + on_demand(1), with_booting_machine, {"spread_zones": True}, id="spread, and one boots"
+    ),
 ]
 
 
@@ -108,6 +130,56 @@
     assert [job for job, _, _ in harness.run(STARVING_AT)] == [short.spec.id]
 
 
+def held_by_zone(harness, job):
+    names = harness.scheduler.holds.machines_of(job)
+    return Counter(harness.inventory.machines[name].zone for name in names)
+
+
+def with_tasks_about_to_end(harness, zone, count):
+    for number in range(count):
+        harness.job(90 + number, team="t1", resources=WHOLE_MACHINE, zone=zone, estimated_run_s=STARVING_AT + 40.0)
+    assert len(harness.run()) == count
+
+
+def test_machines_are_held_in_the_zones_that_a_spread_gang_can_use():
+    """Regression: all four machines that were free first were held, in one zone, which may have two of the tasks."""
+    harness = SchedulerHarness(on_demand(4) + on_demand(2, "b"))
+    with_tasks_about_to_end(harness, "b", 2)
+    gang = harness.job(1, **GANG, spread_zones=True)
+    harness.advance(STARVING_AT)
+    assert harness.run(STARVING_AT) == []
+    assert held_by_zone(harness, gang) == {"a": 2, "b": 2}
+    harness.job(2, team="t1", at=STARVING_AT, estimated_run_s=1000.0, task_count=3)
+    assert [machine[0] for _, _, machine in harness.run(STARVING_AT)] == ["a", "a", "a"]
+
+
+def test_holds_end_when_a_spread_gang_starts_in_another_zone():
+    harness = SchedulerHarness(on_demand(2) + on_demand(2, "b"))
+    with_tasks_about_to_end(harness, "b", 2)
+    gang = harness.job(1, **GANG, spread_zones=True)
+    harness.advance(STARVING_AT)
+    harness.run(STARVING_AT)
+    assert held_by_zone(harness, gang) == {"a": 2, "b": 2}
+    for name in ("c1", "c2"):
+        harness.add_machine(name, "c", now=STARVING_AT)
+    assert {machine for _, _, machine in harness.run(STARVING_AT)} == {"a1", "a2", "c1", "c2"}
+    expired_at = STARVING_AT + HOLD_STOP_LATENCIES * harness.scheduler.stop_latency_s
+    harness.run(expired_at)
+    assert len(harness.scheduler.holds) == 0
+
+
+def test_the_machine_held_for_a_prioritized_service_is_one_that_it_can_use():
+    """Regression: fair admission had a machine held in the zone that may take no further task of the service."""
+    harness = SchedulerHarness(on_demand(2) + on_demand(1, "b"))
+    with_tasks_about_to_end(harness, "b", 1)
+    service = harness.job(1, kind=JobKind.SERVICE, task_count=2, spread_zones=True, estimated_run_s=0.0)
+    assert len(harness.run()) == 1
+    harness.advance(STARVING_AT)
+    harness.scheduler.overrides.prioritized = {service.spec.id}
+    assert harness.run(STARVING_AT) == []
+    assert held_by_zone(harness, service) == {"b": 1}
+
+
 def test_a_task_that_would_not_end_in_time_leaves_its_shape_schedulable():
     """A long task for which a held machine is closed must not end the search for shorter tasks of the same shape."""
     harness = SchedulerHarness(on_demand(4))
