Preemption: nothing is stopped for a job with a task in an unknown zone

What callers saw: low-priority work was stopped for a replica with `spread`, and the replica was not started. Cause: the placement waits while a task of the job is on a machine whose zone isn't known; the preemption plan did not ask that. Change: ZoneConstraint.remaining, which all ask, is 0 while a zone is unknown. Measured: test_nothing_is_stopped_for_a_job_with_a_task_in_an_unknown_zone failed before for `spread`, passes now; for `samePlace` it passed before.

--- a/src/passrock/core/zone_constraint.py
+++ b/src/passrock/core/zone_constraint.py
@@ -49,8 +49,11 @@
         return next(iter(self.counts)) if self.spec.single_zone and self.counts else None
 
     def remaining(self, zone: str) -> int:
-        """Return how many further tasks may be placed in the zone; all of the job's if the zone has no limit."""
-        if self.spec.single_zone and self.counts and zone not in self.counts:
+        """Return how many further tasks may be placed in the zone; all of the job's if the zone has no limit.
+
+        None may while a task of the job is in an unknown zone, which might be any.
+        """
+        if self.has_unknown_zone or (self.spec.single_zone and self.counts and zone not in self.counts):
             return 0
         if not self.spec.spread_zones:
             return self.spec.task_count
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -129,3 +129,23 @@
     )
     assert harness.run(1.0) == []
     assert harness.preemption.select_victims(gang, 1.0) == []
+
+
+@pytest.mark.parametrize(("limits", "zone"), [({"spread_zones": True}, "b"), ({"single_zone": True}, "a")])
+def test_nothing_is_stopped_for_a_job_with_a_task_in_an_unknown_zone(limits, zone):
+    """Regression: work was stopped for a replica that is not placed until the zone of the other one is known."""
+    whole_machine = {"resources": Resources(10, 2, 50)}
+    harness = SchedulerHarness([("m1", "a", False)])
+    service = harness.job(
+        1, kind=JobKind.SERVICE, task_count=2, priority=Priority.PRODUCTION, **whole_machine, **limits
+    )
+    assert harness.run() == [("wk-1", 0, "m1")]
+    machine_of_known_zone = harness.inventory.machines.pop("m1")
+    harness.add_machine("m2", zone)
+    harness.job(2, team="t1", priority=Priority.LOW, estimated_run_s=1000.0, **whole_machine)
+    assert harness.run() == [("wk-2", 0, "m2")]
+    next(iter(harness.job_table.attempts_on("m2"))).running_since = -60.0
+    assert harness.preemption.select_victims(service, 1.0) == []
+    harness.inventory.machines["m1"] = machine_of_known_zone
+    assert harness.run(1.0) == []
+    assert [victim.machine for victim in harness.preemption.select_victims(service, 1.0)] == ["m2"]
