Arrays and services with zone limits wait while one of their tasks is an orphan

Cause: zone limits count recorded attempts. A heartbeat's task without a record (an orphan, which is stopped at once) counts for the quota, and gangs wait for its end, but arrays and services with `spread` or `samePlace` did not. Change: they wait until the job has no orphan. Measured: test_a_task_without_a_record_counts_in_its_zone (2 cases) failed before, passes now.

--- a/src/passrock/core/task_placement.py
+++ b/src/passrock/core/task_placement.py
@@ -54,7 +54,7 @@
         if is_unschedulable and not self.scorer.has_more_options(job):
             return []
         zones = ZoneConstraint.of(job, self.capacity.inventory)
-        if zones.has_unknown_zone or not self.quotas.allows(job, 1):
+        if not self._may_start_any(job, zones):
             return []
         # Jobs limited by the zones of their attempts, or waiting for spot instances, may not fit where other jobs of
         # their shape do.
@@ -83,6 +83,12 @@
         job.advance_first_waiting_index()
         return started
 
+    def _may_start_any(self, job: Job, zones: ZoneConstraint) -> bool:
+        """Whether the zones of all the job's tasks are known, as far as they matter, and the quota allows another."""
+        if zones.has_unknown_zone or (zones.depends_on_tasks and self.quotas.has_orphans(job)):
+            return False
+        return self.quotas.allows(job, 1)
+
     def _start_on(self, machine: Machine, job: Job, index: int, now: float) -> TaskAttempt:
         self.capacity.allocate(machine, job.spec.resources)
         return self.job_table.add_attempt(job, index, machine, job.next_attempt_number(index), now)
--- a/src/passrock/core/zone_constraint.py
+++ b/src/passrock/core/zone_constraint.py
@@ -27,17 +27,22 @@
 
     def __init__(self, spec: JobSpec, counts: dict[str, int]) -> None:
         self.spec = spec
-        self.counts = counts if spec.single_zone or spec.spread_zones else {}
+        self.counts = counts if _limits_zones(spec) else {}
 
     @classmethod
     def of(cls, job: Job, inventory: MachineInventory) -> ZoneConstraint:
         """Return the constraint given the job's attempts that are or may be on machines."""
-        return cls(job.spec, job.zone_counts(inventory) if job.spec.single_zone or job.spec.spread_zones else {})
+        return cls(job.spec, job.zone_counts(inventory) if _limits_zones(job.spec) else {})
 
     def copy(self) -> ZoneConstraint:
         """Return a copy for a tentative placement."""
         return ZoneConstraint(self.spec, dict(self.counts))
 
+    @property
+    def depends_on_tasks(self) -> bool:
+        """Whether the zones for further tasks depend on where the job's other tasks are."""
+        return _limits_zones(self.spec)
+
     @property
     def has_unknown_zone(self) -> bool:
         """Whether a task is on a machine whose zone is unknown, since the inventory doesn't contain it."""
@@ -65,7 +70,7 @@
 
     def add(self, zone: str, count: int = 1) -> None:
         """Count further tasks in the zone."""
-        if count and (self.spec.single_zone or self.spec.spread_zones):
+        if count and _limits_zones(self.spec):
             self.counts[zone] = self.counts.get(zone, 0) + count
 
     def select(self, choices: Iterable[ChoiceT], limit: int) -> list[ChoiceT]:
@@ -78,3 +83,7 @@
                 self.add(choice.machine.zone)
                 selected.append(choice)
         return selected
+
+
+def _limits_zones(spec: JobSpec) -> bool:
+    return spec.single_zone or spec.spread_zones
--- a/tests/test_zone_limits.py
+++ b/tests/test_zone_limits.py
@@ -76,6 +76,19 @@
     ]
 
 
+@pytest.mark.parametrize("limits", [{"spread_zones": True, "task_count": 2}, {"single_zone": True, "task_count": 2}])
+def test_a_task_without_a_record_counts_in_its_zone(limits):
+    """Regression: an orphan that may still run was not counted, so that another task joined it against the limit."""
+    harness = SchedulerHarness(machines_in(a=1, b=1), teams=UNLIMITED)
+    service = harness.job(1, kind=JobKind.SERVICE, **limits)
+    orphans = {("wk-1", 0): service.spec.resources}
+    for name in ("a1", "b1"):
+        harness.inventory.machines[name].orphans = orphans
+        assert harness.run() == []
+        harness.inventory.machines[name].orphans = {}
+    assert len(harness.run()) == 2
+
+
 def room_by_zone(harness, resources):
     """Return how many tasks fit in each zone."""
     room = Counter()
