Scale-out: machines are requested where the job's limits let its tasks run

Cause: scale-out planned all missing tasks on any existing machines and on the cheapest offering; of the limits it knew only `samePlace` of gangs. Change: one planner for gangs and other jobs counts existing and planned tasks by ZoneConstraint. It fills existing machines within the limits, then adds machines of the cheapest offering whose zone may take more. A gang that can't be placed whole gets no machine; other jobs get what can be used. For jobs without limits the plans are as before.

--- a/src/passrock/core/deferral.py
+++ b/src/passrock/core/deferral.py
@@ -164,7 +164,8 @@
         if unschedulable_size is not None and spec.task_count >= unschedulable_size:
             return False
         zones = ZoneConstraint(spec, {})
-        if any(self._has_capacity_for_gang_in(zone, zones.copy()) for zone in self.capacity.zones_to_try(zones)):
+        zones_to_try = zones.zones_to_try(self.capacity.zones)
+        if any(self._has_capacity_for_gang_in(zone, zones.copy()) for zone in zones_to_try):
             return True
         self._unschedulable_gangs[shape] = spec.task_count
         return False
--- a/src/passrock/core/free_capacity.py
+++ b/src/passrock/core/free_capacity.py
@@ -7,7 +7,6 @@
 from passrock.core.machine import Machine
 from passrock.core.model import JobSpec, MachineType, Resources
 from passrock.core.objectives import image_fetch_time_s
-from passrock.core.zone_constraint import ZoneConstraint
 
 
 class FreeCapacity:
@@ -71,12 +70,6 @@
         """Undo a tentative allocation."""
         self._free[machine.name] = self.free_on(machine) + resources
 
-    def zones_to_try(self, zones: ZoneConstraint) -> list[str | None]:
-        """Return the zones to try one by one for a job; None stands for all zones together."""
-        if zones.required_zone is not None:
-            return [zones.required_zone]
-        return list(self.zones) if zones.spec.single_zone else [None]
-
     def longest_image_fetch_s(self, spec: JobSpec) -> float:
         """Return the seconds to fetch the job's image on the slowest type of the schedulable machines."""
         return max(
--- a/src/passrock/core/gang_placement.py
+++ b/src/passrock/core/gang_placement.py
@@ -69,7 +69,7 @@
     def _cheapest_option(self, job: Job, now: float) -> GangOption | None:
         best: GangOption | None = None
         zones = ZoneConstraint.of(job, self.capacity.inventory)
-        for zone in self.capacity.zones_to_try(zones):
+        for zone in zones.zones_to_try(self.capacity.zones):
             option = self._option_in(zone, zones.copy(), job, now)
             if option is not None and (best is None or option.cost_s < best.cost_s):
                 best = option
--- a/src/passrock/core/preemption_planner.py
+++ b/src/passrock/core/preemption_planner.py
@@ -88,7 +88,7 @@
             return best
         is_gang = job.spec.kind is JobKind.GANG
         zones = ZoneConstraint.of(job, self.inventory)
-        for zone in self.capacity.zones_to_try(zones):
+        for zone in zones.zones_to_try(self.capacity.zones):
             options = self._options(job, zone, now, max_image_fetch_s=max_image_fetch_s, elastic_only=elastic_only)
             plan = _cheapest_plan(options, wanted, zones.copy())
             suffices = len(plan.entries) == wanted if is_gang else bool(plan.entries)
--- a/src/passrock/core/scaling.py
+++ b/src/passrock/core/scaling.py
@@ -15,6 +15,7 @@
 from passrock.core.machine_catalog import MachineCatalog, MachineOffering
 from passrock.core.model import ZERO_RESOURCES, JobKind, Resources, Team
 from passrock.core.objectives import ServiceLevelObjectives
+from passrock.core.zone_constraint import ZoneConstraint
 
 MINIMUM_CHARGE_S = 60.0  # the cloud charges a deleted machine for at least this long
 SMALL_ARRAY_TASKS = 64  # up to this many tasks of a job each get capacity of their own, however short they are
@@ -41,14 +42,20 @@
         return count
 
 
-class _GangOption(msgspec.Struct):
-    """One way to place a whole gang: tasks on existing bins, and new machines for the missing tasks."""
+class _ScaleOutOption(msgspec.Struct):
+    """One way to get capacity for a job's waiting tasks: on existing bins, and on new machines.
+
+    Attributes:
+        placements: existing bins, each with the number of tasks planned on it.
+        added: the new machines, filled with the tasks planned on them.
+        cost: the prices per hour of the new machines, each times the number of tasks planned on it.
+        unplanned: the number of tasks without a place: for them, there is no capacity where they may run.
+    """
 
-    cost: float
     placements: list[tuple[CapacityBin, int]]
-    missing: int
-    offering: MachineOffering | None
-    """The offering of the new machines; None when no task is missing."""
+    added: list[CapacityBin]
+    cost: float
+    unplanned: int
 
 
 def tasks_within_quota(job: Job, teams: dict[str, Team], planned_usage: dict[str, Resources]) -> int:
@@ -97,7 +104,7 @@
     Booting machines are filled first. For a gang, the free capacity of running machines counts too, as the gang may
     have to be in the zone of these machines.
     """
-    planner = _ScaleOutPlanner(catalog, objectives, now)
+    planner = _ScaleOutPlanner(inventory, catalog, objectives, now)
     smallest = smallest_request(queue)
     booting = _booting_bins(job_table, inventory, now)
     free = _free_bins(inventory, smallest, now)
@@ -109,10 +116,7 @@
             continue
         team_usage = planned_usage.get(job.spec.team, ZERO_RESOURCES)
         planned_usage[job.spec.team] = team_usage + job.spec.resources.scaled(count)
-        if job.spec.kind is JobKind.GANG:
-            added = planner.add_for_gang(job, count, free + booting)
-        else:
-            added = planner.add_for_tasks(job, count, booting)
+        added = planner.add_for(job, count, free + booting if job.spec.kind is JobKind.GANG else booting)
         for new in added:
             machine_counts[new.offering] = machine_counts.get(new.offering, 0) + 1
         booting = [candidate for candidate in booting + added if smallest.fits(candidate.free_capacity)]
@@ -149,85 +153,87 @@
 class _ScaleOutPlanner:
     """Plans the tasks of one job after another on bins, and adds new machines for tasks that don't fit."""
 
-    def __init__(self, catalog: MachineCatalog, objectives: ServiceLevelObjectives, now: float) -> None:
+    def __init__(
+        self, inventory: MachineInventory, catalog: MachineCatalog, objectives: ServiceLevelObjectives, now: float
+    ) -> None:
+        self.inventory = inventory
         self.catalog = catalog
         self.objectives = objectives
         self.now = now
+        self._offerings_by_job: dict[str, list[MachineOffering]] = {}
 
-    def add_for_tasks(self, job: Job, count: int, booting: list[CapacityBin]) -> list[CapacityBin]:
-        """Fill booting machines, those with the fewest free GPUs first.
+    def add_for(self, job: Job, count: int, bins: list[CapacityBin]) -> list[CapacityBin]:
+        """Plan ``count`` waiting tasks of a job where they may run: all of a gang, of other jobs as many as possible.
 
         Returns:
-            New machines of the cheapest offering for the tasks that didn't fit.
+            The new machines; none for a gang if no option places all tasks.
         """
-        candidates = [candidate for candidate in booting if candidate.accepts(job)]
-        for candidate in sorted(candidates, key=lambda candidate: candidate.free_capacity.gpus):
-            if not count:
-                return []
-            count -= candidate.fill(job.spec.resources, count)
-        offerings = self.catalog.offerings_for(job, self.objectives, self.now) if count else []
-        added: list[CapacityBin] = []
-        while count and offerings and len(added) < MAX_MACHINES_PER_REQUEST:
-            new = self._new_machine(offerings[0])
-            count -= new.fill(job.spec.resources, count)
-            added.append(new)
-        return added
-
-    def add_for_gang(self, job: Job, count: int, bins: list[CapacityBin]) -> list[CapacityBin]:
-        """Plan the whole gang by the cheapest option.
-
-        Returns:
-            The new machines; none if no option places all tasks.
-        """
-        best = min(self._gang_options(job, count, bins), key=lambda option: option.cost, default=None)
+        candidates = [candidate for candidate in bins if candidate.accepts(job)]
+        is_gang = job.spec.kind is JobKind.GANG
+        if not is_gang:
+            candidates.sort(key=lambda candidate: candidate.free_capacity.gpus)
+        zones = ZoneConstraint.of(job, self.inventory)
+        options = [
+            self._option(job, count, candidates, zone, zones.copy())
+            for zone in zones.zones_to_try(self._zones_with_capacity(job, candidates))
+        ]
+        if is_gang:
+            options = [option for option in options if not option.unplanned]
+        best = min(options, key=lambda option: (option.unplanned, option.cost), default=None)
         if best is None:
             return []
-        resources = job.spec.resources
         for candidate, tasks in best.placements:
-            candidate.free_capacity = candidate.free_capacity - resources.scaled(tasks)
-        added: list[CapacityBin] = []
-        missing = best.missing
-        while missing and best.offering is not None:
-            new = self._new_machine(best.offering)
-            missing -= new.fill(resources, missing)
-            added.append(new)
-        return added
-
-    def _new_machine(self, offering: MachineOffering) -> CapacityBin:
-        return CapacityBin(offering, self.catalog.types[offering.machine_type].capacity)
-
-    def _gang_options(self, job: Job, count: int, bins: list[CapacityBin]) -> Iterator[_GangOption]:
-        """Yield the options for a gang: one for each zone if it needs a single zone, otherwise one over all zones."""
-        offerings = self.catalog.offerings_for(job, self.objectives, self.now)
-        candidates = [candidate for candidate in bins if candidate.accepts(job)]
-        zones: list[str | None] = [None]
-        if job.spec.single_zone:
-            offered = [offering.zone for offering in offerings]
-            zones = list(dict.fromkeys(offered + [candidate.offering.zone for candidate in candidates]))
-        for zone in zones:
-            placements, missing = _place_in_zone(job.spec.resources, count, candidates, zone)
-            if not missing:
-                yield _GangOption(0.0, placements, 0, None)
+            candidate.fill(job.spec.resources, tasks)
+        return best.added
+
+    def _zones_with_capacity(self, job: Job, candidates: list[CapacityBin]) -> Iterator[str]:
+        """Iterate over the zones of the offerings, cheapest first, and of the existing bins."""
+        for offering in self._offerings(job):
+            yield offering.zone
+        for candidate in candidates:
+            yield candidate.offering.zone
+
+    def _offerings(self, job: Job) -> list[MachineOffering]:
+        offerings = self._offerings_by_job.get(job.spec.id)
+        if offerings is None:
+            offerings = self.catalog.offerings_for(job, self.objectives, self.now)
+            self._offerings_by_job[job.spec.id] = offerings
+        return offerings
+
+    def _option(
+        self, job: Job, count: int, candidates: list[CapacityBin], zone: str | None, zones: ZoneConstraint
+    ) -> _ScaleOutOption:
+        """Return the option in a zone (in all zones for None), in which ``zones`` counts the planned tasks."""
+        option = _ScaleOutOption([], [], 0.0, count)
+        for candidate in candidates:
+            if not option.unplanned:
+                return option
+            if zone in (None, candidate.offering.zone):
+                limit = min(option.unplanned, zones.remaining(candidate.offering.zone))
+                tasks = job.spec.resources.fit_count(candidate.free_capacity, limit)
+                zones.add(candidate.offering.zone, tasks)
+                option.placements.append((candidate, tasks))
+                option.unplanned -= tasks
+        if option.unplanned:
+            self._add_machines(option, job, zone, zones)
+        return option
+
+    def _add_machines(self, option: _ScaleOutOption, job: Job, zone: str | None, zones: ZoneConstraint) -> None:
+        """Add new machines for the unplanned tasks: of the cheapest offering, then of those in further zones."""
+        max_machines = option.unplanned if job.spec.kind is JobKind.GANG else MAX_MACHINES_PER_REQUEST
+        for offering in self._offerings(job):
+            if zone not in (None, offering.zone):
                 continue
-            cheapest = next((offering for offering in offerings if zone in (None, offering.zone)), None)
-            if cheapest is not None:
-                yield _GangOption(missing * self.catalog.price(cheapest), placements, missing, cheapest)
-
-
-def _place_in_zone(
-    resources: Resources, count: int, candidates: list[CapacityBin], zone: str | None
-) -> tuple[list[tuple[CapacityBin, int]], int]:
-    """Return how many tasks fit each candidate in the zone (in any zone for None), and how many tasks are missing."""
-    placements: list[tuple[CapacityBin, int]] = []
-    missing = count
-    for candidate in candidates:
-        if not missing:
-            break
-        if zone in (None, candidate.offering.zone):
-            tasks = resources.fit_count(candidate.free_capacity, missing)
-            placements.append((candidate, tasks))
-            missing -= tasks
-    return placements, missing
+            while len(option.added) < max_machines:
+                limit = min(option.unplanned, zones.remaining(offering.zone))
+                if not limit:
+                    break
+                new = CapacityBin(offering, self.catalog.types[offering.machine_type].capacity)
+                tasks = new.fill(job.spec.resources, limit)
+                zones.add(offering.zone, tasks)
+                option.added.append(new)
+                option.cost += tasks * self.catalog.price(offering)
+                option.unplanned -= tasks
 
 
 def plan_scale_in(
--- a/src/passrock/core/starvation_holds.py
+++ b/src/passrock/core/starvation_holds.py
@@ -102,7 +102,7 @@
         best_score: float | None = None
         best: list[HoldCandidate] = []
         zones = ZoneConstraint.of(job, self.capacity.inventory)
-        for zone in self.capacity.zones_to_try(zones):
+        for zone in zones.zones_to_try(self.capacity.zones):
             candidates = self._candidates(job, wanted, zone, held_already, now)
             chosen = zones.copy().select(sorted(candidates, key=HoldCandidate.sort_key), wanted)
             if len(chosen) < wanted:
--- a/src/passrock/core/zone_constraint.py
+++ b/src/passrock/core/zone_constraint.py
@@ -53,6 +53,12 @@
         """The zone of the present tasks if the job is restricted to a single zone; None if any zone may be used."""
         return next(iter(self.counts)) if self.spec.single_zone and self.counts else None
 
+    def zones_to_try(self, zones: Iterable[str]) -> Iterable[str | None]:
+        """Return the zones, of those given, to try one by one for the job; None stands for all zones together."""
+        if self.required_zone is not None:
+            return [self.required_zone]
+        return dict.fromkeys(zones) if self.spec.single_zone else [None]
+
     def remaining(self, zone: str) -> int:
         """Return how many further tasks may be placed in the zone; all of the job's if the zone has no limit.
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -74,6 +74,77 @@
     assert scale_out(harness, catalog, queue, 285.0) == {MachineOffering("box", "a", False): 1}
 
 
+SPREAD = {"spread_zones": True, "resources": Resources(10, 2, 50)}  # each task needs a whole machine
+ONE_ZONE = {"single_zone": True, "resources": Resources(10, 2, 50)}
+
+# job, machines by zone (name, zone, spot), unavailable zones, expected new machines by zone
+ZONE_LIMITED = [
+    pytest.param({"kind": JobKind.GANG, "task_count": 4, **SPREAD}, "", "", {"a": 2, "b": 2}, id="gang"),
+    pytest.param({"kind": JobKind.GANG, "task_count": 5, **SPREAD}, "", "", {"a": 3, "b": 2}, id="gang of five"),
+    pytest.param(
+        {"kind": JobKind.GANG, "task_count": 4, **SPREAD}, "aaa", "", {"a": 0, "b": 2}, id="gang, room in one zone"
+    ),
+    pytest.param(
+        {"kind": JobKind.GANG, "task_count": 4, **SPREAD}, "", "a", {"b": 2, "c": 2}, id="gang, cheapest zone full"
+    ),
+    pytest.param({"kind": JobKind.GANG, "task_count": 4, **SPREAD}, "", "ab", {}, id="gang, all zones but one full"),
+    pytest.param(
+        {"kind": JobKind.GANG, "task_count": 4, **SPREAD}, "bbb", "ab", {"c": 2}, id="gang, room in a full zone"
+    ),
+    pytest.param({"kind": JobKind.SERVICE, "task_count": 4, **SPREAD}, "", "", {"a": 2, "b": 2}, id="service"),
+    pytest.param(
+        {"kind": JobKind.SERVICE, "task_count": 4, **SPREAD}, "a", "", {"a": 1, "b": 2}, id="service, partly running"
+    ),
+    pytest.param(
+        {"kind": JobKind.SERVICE, "task_count": 4, **SPREAD}, "aaa", "", {"b": 2}, id="service, its zone used up"
+    ),
+    pytest.param(
+        {"kind": JobKind.SERVICE, "task_count": 4, **SPREAD}, "aaa", "bc", {}, id="service, only its zone available"
+    ),
+    pytest.param({"task_count": 4, **SPREAD}, "aa", "b", {"c": 2}, id="array, the next zone full"),
+    pytest.param({"task_count": 4, **SPREAD}, "", "bc", {"a": 2}, id="array, one zone left: half at a time"),
+    pytest.param(
+        {"kind": JobKind.SERVICE, "task_count": 3, **ONE_ZONE}, "b", "", {"b": 2}, id="service bound to its zone"
+    ),
+    pytest.param({"task_count": 3, **ONE_ZONE}, "b", "b", {}, id="array bound to a full zone"),
+    pytest.param({"task_count": 3, **ONE_ZONE}, "", "a", {"b": 3}, id="array in any one zone"),
+]
+
+
+@pytest.mark.parametrize(("fields", "machines", "full", "expected"), ZONE_LIMITED)
+def test_machines_are_requested_where_the_tasks_may_run(fields, machines, full, expected):
+    """Regression (review/3): all were requested in the cheapest zone, also for services, round after round."""
+    teams = {"t0": Team("t0", 0, 0, 0, 0)}
+    harness = SchedulerHarness([(f"m{i}", zone, False) for i, zone in enumerate(machines)], teams=teams)
+    harness.job(**fields)
+    catalog = MachineCatalog({"box": BOX})
+    for zone in full:
+        catalog.mark_unavailable(MachineOffering("box", zone, False), 1000.0)
+    harness.run()
+    wanted = {MachineOffering("box", zone, False): count for zone, count in expected.items() if count}
+    assert scale_out(harness, catalog, harness.scheduler.waiting_jobs, teams=teams) == wanted
+    new = [offering.zone for offering, count in wanted.items() for _ in range(count)]
+    for number, zone in enumerate(new):  # nothing more is requested while they boot, and then the job runs
+        harness.inventory.add(f"new{number}", BOX, zone, spot=False, now=0.0)
+    assert scale_out(harness, catalog, harness.scheduler.waiting_jobs, teams=teams) == {}
+    for number, zone in enumerate(new):
+        harness.add_machine(f"new{number}", zone)
+    assert bool(harness.run()) is bool(new)
+    assert scale_out(harness, catalog, harness.scheduler.waiting_jobs, teams=teams) == {}
+
+
+def test_nothing_is_requested_for_a_job_with_a_task_in_an_unknown_zone():
+    """Regression: machines were requested that the job does not use until the zone is known."""
+    harness = SchedulerHarness([("m1", "a", False)])
+    harness.job(kind=JobKind.SERVICE, task_count=2, **SPREAD)
+    harness.run()
+    machine = harness.inventory.machines.pop("m1")
+    catalog = MachineCatalog({"box": BOX})
+    assert scale_out(harness, catalog, harness.scheduler.waiting_jobs) == {}
+    harness.inventory.machines["m1"] = machine
+    assert scale_out(harness, catalog, harness.scheduler.waiting_jobs) == {MachineOffering("box", "b", False): 1}
+
+
 def test_scale_in_of_idle_machines():
     harness = SchedulerHarness([("m1", "a", False), ("m2", "a", True), ("m3", "a", False)])
     harness.job()
