--- a/src/passrock/core/zone_constraint.py
+++ b/src/passrock/core/zone_constraint.py
@@ -23,26 +23,27 @@
 
 
 class ZoneConstraint:
-    """The job's tasks by zone, counted only if the job is restricted to a single zone or spread over zones."""
+    """The job's tasks by zone, counted only if the job is restricted to a single zone or spread over zones.
+
+    Attributes:
+        depends_on_tasks: whether the zones for further tasks depend on where the job's other tasks are.
+        counts: the tasks by zone.
+    """
 
     def __init__(self, spec: JobSpec, counts: dict[str, int]) -> None:
         self.spec = spec
-        self.counts = counts if _limits_zones(spec) else {}
+        self.depends_on_tasks = spec.single_zone or spec.spread_zones
+        self.counts = counts if self.depends_on_tasks else {}
 
     @classmethod
     def of(cls, job: Job, inventory: MachineInventory) -> ZoneConstraint:
         """Return the constraint given the job's attempts that are or may be on machines."""
-        return cls(job.spec, job.zone_counts(inventory) if _limits_zones(job.spec) else {})
+        return cls(job.spec, job.zone_counts(inventory) if job.spec.single_zone or job.spec.spread_zones else {})
 
     def copy(self) -> ZoneConstraint:
         """Return a copy for a tentative placement."""
         return ZoneConstraint(self.spec, dict(self.counts))
 
-    @property
-    def depends_on_tasks(self) -> bool:
-        """Whether the zones for further tasks depend on where the job's other tasks are."""
-        return _limits_zones(self.spec)
-
     @property
     def has_unknown_zone(self) -> bool:
         """Whether a task is on a machine whose zone is unknown, since the inventory doesn't contain it."""
@@ -72,11 +73,11 @@
 
     def allows(self, zone: str) -> bool:
         """Whether another task may be placed in the zone."""
-        return self.remaining(zone) > 0
+        return not self.depends_on_tasks or self.remaining(zone) > 0
 
     def add(self, zone: str, count: int = 1) -> None:
         """Count further tasks in the zone."""
-        if count and _limits_zones(self.spec):
+        if count and self.depends_on_tasks:
             self.counts[zone] = self.counts.get(zone, 0) + count
 
     def select(self, choices: Iterable[ChoiceT], limit: int) -> list[ChoiceT]:
@@ -89,7 +90,3 @@
                 self.add(choice.machine.zone)
                 selected.append(choice)
         return selected
-
-
-def _limits_zones(spec: JobSpec) -> bool:
-    return spec.single_zone or spec.spread_zones
