Submissions: a gang or service with spread that only one zone could take is refused

What callers saw: such a job was accepted, and now that the limit holds it could never run whole; while it waits, no idle machine is returned. Cause: only `samePlace` beside `spread` was refused, not a `branch`, and not types that are offered in one zone only.

--- a/tests/standins/scenarios.py
+++ b/tests/standins/scenarios.py
@@ -310,6 +310,8 @@
         ({**valid, "bindings": []}, 422),
         ({**valid, "branch": "nowhere"}, 422),
         ({**valid, "format": "group", "volumes": 9, "cards": 1.0}, 422),
+        ({**valid, "format": "group", "volumes": 2, "spread": True, "branch": cluster.zones[0]}, 422),
+        ({**valid, "format": "service", "volumes": 2, "spread": True, "samePlace": True}, 422),
         *(({key: value for key, value in valid.items() if key != missing}, 400) for missing in REQUIRED_FIELDS),
     ]
     cluster.invalid_jobs = {valid["ref"]}
