The buffer for the loss of a zone is rented, and kept, where it makes up for the loss

What callers saw: while other zones had no capacity, machines were rented in the zone of a production service without an end (430 in 150 s for two replicas, simulated), and no idle machine was returned. Cause: buffer_offering took the zone with the fewest free GPUs, also the one whose loss the buffer is for. Capacity there is lost with it, so the shortfall stayed and the next round asked again. While a shortfall remained, scale-in kept every idle on-demand machine, whether or not it was of any use. Change: the zone of the worst loss is left out; an idle machine is kept if the shortfall would be larger without it.

--- a/src/passrock/controller/autoscaler.py
+++ b/src/passrock/controller/autoscaler.py
@@ -13,7 +13,7 @@
 from passrock.core.machine_catalog import MachineCatalog
 from passrock.core.model import JobKind, Priority
 from passrock.core.preemption import Preemption
-from passrock.core.scaling import plan_scale_in, plan_scale_out, zone_loss_shortfall
+from passrock.core.scaling import plan_scale_in, plan_scale_out, worst_zone_loss, zone_loss_shortfall
 from passrock.core.scheduler import Scheduler
 from passrock.logs import info
 from passrock.settings import Settings
@@ -72,12 +72,12 @@
             self.scheduler.objectives,
             now,
         )
-        shortfall = zone_loss_shortfall(gpus.production, gpus.available, self.settings.zones)
-        if shortfall > 0:
-            offering = self.catalog.buffer_offering(gpus.available, now)
+        worst = worst_zone_loss(gpus.production, gpus.available, self.settings.zones)
+        if worst.shortfall > 0:
+            offering = self.catalog.buffer_offering(gpus.available, worst.zone, now)
             if offering is not None and offering not in machine_counts:
                 gpus_per_machine = self.catalog.types[offering.machine_type].capacity.gpus
-                machine_counts[offering] = math.ceil(shortfall / gpus_per_machine)
+                machine_counts[offering] = math.ceil(worst.shortfall / gpus_per_machine)
         for offering, count in machine_counts.items():
             self.provisioner.provision(offering, count)
 
@@ -89,8 +89,10 @@
             for name, machine_type in self.catalog.types.items()
         }
         for machine in plan_scale_in(self.inventory, self.job_table, idle_timeout_s, now):
+            shortfall = zone_loss_shortfall(gpus.production, gpus.available, self.settings.zones)
             gpus.available[machine.zone] -= machine.type.capacity.gpus
-            if not machine.spot and zone_loss_shortfall(gpus.production, gpus.available, self.settings.zones) > 0:
+            remaining = zone_loss_shortfall(gpus.production, gpus.available, self.settings.zones)
+            if not machine.spot and remaining > shortfall:
                 gpus.available[machine.zone] += machine.type.capacity.gpus  # kept for the buffer
                 continue
             info("machine_scaled_in", machine=machine.name)
--- a/src/passrock/core/machine_catalog.py
+++ b/src/passrock/core/machine_catalog.py
@@ -47,16 +47,19 @@
         ]
         return sorted(available, key=lambda offering: (self.price(offering), offering.zone))
 
-    def buffer_offering(self, free_gpus: dict[str, float], now: float) -> MachineOffering | None:
+    def buffer_offering(
+        self, free_gpus: dict[str, float], lost_zone: str | None, now: float
+    ) -> MachineOffering | None:
         """Return the cheapest available on-demand offering with GPUs in the zone with the fewest free GPUs.
 
-        ``free_gpus`` is by zone. Returns None when no such offering is available.
+        ``free_gpus`` is by zone. ``lost_zone``, for whose loss the buffer is needed, is left out. Returns None when
+        no such offering is available.
         """
         offerings = [
             MachineOffering(machine_type.name, zone, spot=False)
             for machine_type in self.types.values()
             for zone in machine_type.zones
-            if machine_type.capacity.gpus > 0
+            if machine_type.capacity.gpus > 0 and zone != lost_zone
         ]
         return min(
             (offering for offering in offerings if self.is_available(offering, now)),
--- a/src/passrock/core/scaling.py
+++ b/src/passrock/core/scaling.py
@@ -5,6 +5,7 @@
 import math
 from bisect import bisect_left
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import msgspec
 
@@ -261,18 +262,31 @@
     return sorted(surplus, key=lambda machine: (machine.spot, machine.idle_since or 0.0))
 
 
-def zone_loss_shortfall(production: dict[str, float], available: dict[str, float], zones: tuple[str, ...]) -> float:
-    """Return how many GPUs production tasks would lack after the loss of the zone for which this is the most.
+class ZoneLoss(NamedTuple):
+    """The loss of a zone, and how many GPUs production tasks would lack after it."""
+
+    zone: str | None
+    shortfall: float
+
+
+NO_SHORTFALL = ZoneLoss(None, 0.0)
+
+
+def worst_zone_loss(production: dict[str, float], available: dict[str, float], zones: tuple[str, ...]) -> ZoneLoss:
+    """Return the loss of the zone after which production tasks would lack the most GPUs.
 
     Both mappings are by zone: ``production`` has the GPUs of production tasks, ``available`` those that are idle or
     used by tasks that can be preempted. All teams lose a zone at the same time, so all reservations are evaluated
-    together.
+    together. Capacity in the zone itself is lost with it.
     """
     if len(zones) < 2:
-        return 0.0
+        return NO_SHORTFALL
     total = sum(available.values())
-    shortfalls = []
-    for lost_zone in zones:
-        remaining = total - available.get(lost_zone, 0.0)
-        shortfalls.append(production.get(lost_zone, 0.0) - remaining)
-    return max(0.0, *shortfalls)
+    losses = [ZoneLoss(zone, production.get(zone, 0.0) - (total - available.get(zone, 0.0))) for zone in zones]
+    worst = max(losses, key=lambda loss: loss.shortfall)
+    return worst if worst.shortfall > 0 else NO_SHORTFALL
+
+
+def zone_loss_shortfall(production: dict[str, float], available: dict[str, float], zones: tuple[str, ...]) -> float:
+    """Return how many GPUs production tasks would lack after the worst loss of a zone."""
+    return worst_zone_loss(production, available, zones).shortfall
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -5,7 +5,7 @@
 from builders import BOX, OBJECTIVES, TEAMS, TERM, SchedulerHarness, heartbeat
 from passrock.core.machine_catalog import MachineCatalog, MachineOffering
 from passrock.core.model import JobKind, Resources, Team
-from passrock.core.scaling import plan_scale_in, plan_scale_out
+from passrock.core.scaling import plan_scale_in, plan_scale_out, worst_zone_loss
 
 # waiting jobs -> machines to provision
 SCALE_OUTS = [
@@ -145,6 +145,25 @@
     assert scale_out(harness, catalog, harness.scheduler.waiting_jobs) == {MachineOffering("box", "b", False): 1}
 
 
+@pytest.mark.parametrize(
+    ("available", "full", "zone"),
+    [
+        ({"a": 0.0, "b": 1.0, "c": 2.0}, "", "b"),  # the fewest free GPUs of the other zones
+        ({"a": 0.0, "b": 1.0, "c": 2.0}, "b", "c"),
+        ({"a": 0.0, "b": 0.0, "c": 0.0}, "bc", None),
+    ],
+)
+def test_the_buffer_for_the_loss_of_a_zone_is_in_another_zone(available, full, zone):
+    """Regression: it was rented in the zone itself, again in each round, as that never made up for the loss."""
+    catalog = MachineCatalog({"box": BOX})
+    for name in full:
+        catalog.mark_unavailable(MachineOffering("box", name, False), 1000.0)
+    worst = worst_zone_loss({"a": 8.0}, available, BOX.zones)
+    assert (worst.zone, worst.shortfall) == ("a", 8.0 - available["b"] - available["c"])
+    offering = catalog.buffer_offering(available, worst.zone, 0.0)
+    assert (offering and offering.zone) == zone
+
+
 def test_a_machine_that_has_just_booted_is_not_requested_again():
     """Regression: a second machine was requested from the first heartbeat of the one that booted until the next."""
     harness = SchedulerHarness([])
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -102,6 +102,22 @@
     assert used == sorted(idle)
 
 
+def test_machines_that_no_buffer_needs_are_returned_while_one_cannot_be_had():
+    """Regression: with no capacity elsewhere, the buffer was rented in the zone of the service, without an end."""
+
+    async def main():
+        cluster = SimulatedCluster(12, zones=("a", "b"), machines=0, capacity=(1000, 0))
+        cluster.cloud.capacity["box", "b", False] = 0
+        service = cluster.job(0, format="service", volumes=2, cards=2.0, precedence="prod", loanS=0.0)
+        cluster.spawn(cluster.simulate_user(service, cancel_after_s=math.inf))
+        cluster.spawn(cluster.simulate_user(cluster.job(1, volumes=3, cards=2.0), run_s=5.0))
+        await asyncio.sleep(150.0)
+        return sorted(cluster.workers), machines_of(cluster, service["ref"])
+
+    present, used = virtual_time.run(main())
+    assert present == used
+
+
 def test_failover_keeps_the_machines():
     """Regression: a new leader deleted every old machine from which it had not yet had a heartbeat."""
 
