--- a/tests/standins/checker.py
+++ b/tests/standins/checker.py
@@ -146,6 +146,8 @@
         """Return how many tasks of a job fit into the room on a machine."""
         if spec["branch"] not in (None, worker.zone) or (worker.spot and not spec["loaners"]):
             return 0
+        if spec["bindings"] is not None and worker.type not in spec["bindings"]:
+            return 0
         size = self.cluster.cloud.machine_types[worker.type]
         placed_specs = [self.cluster.specs[task.job] for task in worker.tasks.values() if task.state != "exited"]
         return min(
