Scaling: scale-out, scale-in and the loss of a zone in modules of their own

Change: moved, behaviour as before; the cloud's minimum charge stands with the other times of interfaces.

--- a/src/passrock/controller/autoscaler.py
+++ b/src/passrock/controller/autoscaler.py
@@ -13,8 +13,10 @@
 from passrock.core.machine_catalog import MachineCatalog
 from passrock.core.model import JobKind, Priority
 from passrock.core.preemption import Preemption
-from passrock.core.scaling import plan_scale_in, plan_scale_out, worst_zone_loss, zone_loss_shortfall
+from passrock.core.scale_in import plan_scale_in
+from passrock.core.scale_out import plan_scale_out
 from passrock.core.scheduler import Scheduler
+from passrock.core.zone_loss import worst_zone_loss, zone_loss_shortfall
 from passrock.logs import info
 from passrock.settings import Settings
 
--- a/src/passrock/controller/provisioner.py
+++ b/src/passrock/controller/provisioner.py
@@ -14,7 +14,7 @@
 from passrock.core.machine import Machine
 from passrock.core.machine_catalog import MachineCatalog, MachineOffering
 from passrock.core.messages import ListedMachine
-from passrock.core.scaling import MAX_MACHINES_PER_REQUEST
+from passrock.core.scale_out import MAX_MACHINES_PER_REQUEST
 from passrock.io.clock import monotonic_time
 from passrock.io.cloud import CloudClient
 from passrock.io.errors import CloudError, NoCapacityError, StoreError
--- a/src/passrock/core/interface_times.py
+++ b/src/passrock/core/interface_times.py
@@ -1,4 +1,4 @@
-"""Times and clock bounds that the workers' interface fixes for every deployment."""
+"""Times and clock bounds that the interfaces of workers and cloud fix for every deployment."""
 
 from __future__ import annotations
 
@@ -6,3 +6,5 @@
 CLOCK_DRIFT_RATIO = 1.002
 # A worker waits this long for an answer before it contacts another controller.
 WORKER_REQUEST_TIMEOUT_S = 4.0
+# The cloud charges a deleted machine for at least this long.
+MINIMUM_CHARGE_S = 60.0
--- a/src/passrock/core/scaling.py
+++ b/src/passrock/core/scale_out.py
@@ -1,14 +1,14 @@
-"""Planning of the fleet's size: machines to provision for waiting tasks, and idle machines to delete."""
+"""Scale-out: the machines to provision so that waiting tasks get capacity where they may run."""
 
 from __future__ import annotations
 
 import math
 from bisect import bisect_left
 from collections.abc import Iterator
-from typing import NamedTuple
 
 import msgspec
 
+from passrock.core.interface_times import MINIMUM_CHARGE_S
 from passrock.core.inventory import MachineInventory
 from passrock.core.job import Job, smallest_request
 from passrock.core.job_table import JobTable
@@ -18,7 +18,6 @@
 from passrock.core.objectives import ServiceLevelObjectives
 from passrock.core.zone_constraint import ZoneConstraint
 
-MINIMUM_CHARGE_S = 60.0  # the cloud charges a deleted machine for at least this long
 SMALL_ARRAY_TASKS = 64  # up to this many tasks of a job each get capacity of their own, however short they are
 MAX_MACHINES_PER_REQUEST = 50  # the cloud's limit on machines in one request
 
@@ -239,54 +238,3 @@
                 option.added.append(new)
                 option.cost += tasks * self.catalog.price(offering)
                 option.unplanned -= tasks
-
-
-def plan_scale_in(
-    inventory: MachineInventory, job_table: JobTable, idle_timeout_s: dict[str, float], now: float
-) -> list[Machine]:
-    """Return the machines whose idle time-out has expired: on-demand machines first, of each kind the longest idle.
-
-    ``idle_timeout_s`` is by machine type and holds for on-demand machines; for a spot instance it is multiplied by
-    the ratio of the on-demand price to the spot price. No machine is deleted within its minimum charge.
-    """
-    surplus = []
-    for machine in inventory.machines.values():
-        if not machine.heartbeat_received or machine.deleting or machine.idle_since is None:
-            continue
-        if machine.name in job_table.attempts_by_machine:
-            continue
-        price = machine.type.price_for(spot=machine.spot)
-        timeout_s = idle_timeout_s[machine.type.name] * (machine.type.price / price if price > 0 else 1.0)
-        if now - machine.idle_since >= timeout_s and now - machine.requested_at >= MINIMUM_CHARGE_S:
-            surplus.append(machine)
-    return sorted(surplus, key=lambda machine: (machine.spot, machine.idle_since or 0.0))
-
-
-class ZoneLoss(NamedTuple):
-    """The loss of a zone, and how many GPUs production tasks would lack after it."""
-
-    zone: str | None
-    shortfall: float
-
-
-NO_SHORTFALL = ZoneLoss(None, 0.0)
-
-
-def worst_zone_loss(production: dict[str, float], available: dict[str, float], zones: tuple[str, ...]) -> ZoneLoss:
-    """Return the loss of the zone after which production tasks would lack the most GPUs.
-
-    Both mappings are by zone: ``production`` has the GPUs of production tasks, ``available`` those that are idle or
-    used by tasks that can be preempted. All teams lose a zone at the same time, so all reservations are evaluated
-    together. Capacity in the zone itself is lost with it.
-    """
-    if len(zones) < 2:
-        return NO_SHORTFALL
-    total = sum(available.values())
-    losses = [ZoneLoss(zone, production.get(zone, 0.0) - (total - available.get(zone, 0.0))) for zone in zones]
-    worst = max(losses, key=lambda loss: loss.shortfall)
-    return worst if worst.shortfall > 0 else NO_SHORTFALL
-
-
-def zone_loss_shortfall(production: dict[str, float], available: dict[str, float], zones: tuple[str, ...]) -> float:
-    """Return how many GPUs production tasks would lack after the worst loss of a zone."""
-    return worst_zone_loss(production, available, zones).shortfall
--- a/tests/test_binding_rounds.py
+++ b/tests/test_binding_rounds.py
@@ -5,7 +5,7 @@
 import pytest
 
 from passrock.core.reservation import MachineView, ReservationRequest, bind, split_into_pages
-from passrock.core.scaling import zone_loss_shortfall
+from passrock.core.zone_loss import zone_loss_shortfall
 
 ZONES = ("a", "b", "c")
 
--- a/tests/test_job_limits.py
+++ b/tests/test_job_limits.py
@@ -42,6 +42,22 @@
     assert checker.starts > 0
 
 
+@pytest.mark.parametrize("zones", [("a",), ("a", "b"), ("a", "b", "c")], ids=len)
+@pytest.mark.parametrize("seed", range(2))
+def test_no_job_with_limits_waits_beside_room_on_a_full_cloud(seed, zones):
+    """The scenes of review case 5 with limits: what is held for a gang in vain keeps nothing else waiting."""
+
+    async def main():
+        cluster = limited_cluster(seed, zones)
+        cluster.cloud.capacity = dict.fromkeys(cluster.cloud.capacity, 0)
+        cluster.cloud.add_machine("wide", zones[0], spot=True, boot_s=0.1)
+        return await run_limited_jobs(cluster, 420.0, jobs=16, largest=LARGEST_JOB)
+
+    checker, _ = virtual_time.run(main())
+    assert checker.violations == []
+    assert checker.starts > 0
+
+
 @pytest.mark.parametrize("kind", ["service", "group"])
 def test_a_spread_job_waits_for_a_zone_without_capacity(kind):
     """Regression (review/3): in each round, machines were rented in the zone that may take no more of the job."""
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -5,7 +5,9 @@
 from builders import BOX, OBJECTIVES, TEAMS, TERM, SchedulerHarness, heartbeat
 from passrock.core.machine_catalog import MachineCatalog, MachineOffering
 from passrock.core.model import JobKind, Resources, Team
-from passrock.core.scaling import plan_scale_in, plan_scale_out, worst_zone_loss
+from passrock.core.scale_in import plan_scale_in
+from passrock.core.scale_out import plan_scale_out
+from passrock.core.zone_loss import worst_zone_loss
 
 # waiting jobs -> machines to provision
 SCALE_OUTS = [
