--- a/src/passrock/core/machine_health.py
+++ b/src/passrock/core/machine_health.py
@@ -92,20 +92,6 @@
             and now - machine.requested_at <= USUAL_BOOT_RATIO * machine.type.boot_s
         )
 
-    def is_joining(self, machine: Machine, now: float) -> bool:
-        """Whether a machine sends heartbeats and is expected to be schedulable with the next one.
-
-        That one has to show that the answer to the first reached the worker.
-        """
-        return (
-            machine.heartbeat_received
-            and not machine.is_reachable
-            and not machine.deleting
-            and machine.reclaim_at is None
-            and not self.is_unreachable_inbound(machine, now)
-            and not self.is_unresponsive(machine, now)
-        )
-
     def boot_timed_out(self, machine: Machine, now: float) -> bool:
         """Whether a machine should have sent its first heartbeat by now.
 
--- a/src/passrock/core/scale_out.py
+++ b/src/passrock/core/scale_out.py
@@ -125,16 +125,12 @@
 
 
 def _booting_bins(job_table: JobTable, inventory: MachineInventory, now: float) -> list[CapacityBin]:
-    """Return bins for machines that will soon have capacity: booting, or expected back or joining without tasks."""
-    health = inventory.health
+    """Return bins for machines that will soon have capacity: booting, or expected back without tasks."""
     return [
         _bin(machine, machine.type.capacity)
         for machine in inventory.machines.values()
         if (not machine.heartbeat_received and not machine.deleting)
-        or (
-            machine.name not in job_table.attempts_by_machine
-            and (health.is_expected_back(machine, now) or health.is_joining(machine, now))
-        )
+        or (machine.name not in job_table.attempts_by_machine and inventory.health.is_expected_back(machine, now))
     ]
 
 
